--- /dev/null
+++ b/src/skylarkrack/_events.py
@@ -0,0 +1,64 @@
+"""Numbered log events and the logger that writes them.
+
+docs/EVENTS.md is the catalogue; a test keeps the two in step. Fields are written as JSON. Only
+fields of the values the code passes are logged, and never a caller's key: keys are replaced by
+their digests where they enter the process.
+"""
+
+import json
+import sys
+from enum import IntEnum
+
+from loguru import logger
+
+
+class Event(IntEnum):
+    """Log events by number."""
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    SETTINGS_REJECTED = 103
+
+    LINK_UP = 200
+    LINK_DOWN = 201
+    FRAME_REJECTED = 202
+
+    VALUE_ADOPTED = 300
+    VALUE_REJECTED = 301
+    PLATFORM_LOST = 302
+    PLATFORM_BACK = 303
+    STALE_VALUE_IGNORED = 304
+    ACCESS_LEASE_LOST = 305
+    ACCESS_LEASE_HELD = 306
+
+    REQUEST_ENDED = 400
+    REQUEST_REFUSED = 401
+    REQUEST_REROUTED = 402
+    STREAM_CUT = 403
+    BAD_CALLER = 404
+    HANDLER_FAILED = 405
+
+    ENGINE_UP = 500
+    ENGINE_DOWN = 501
+    LOAD_ORDERED = 502
+    LOAD_ENDED = 503
+    EVICTED = 504
+    WRONG_ECHO = 505
+    CRASH_SUSPECTS = 506
+
+    ROSTER_CHANGED = 600
+    DRAIN_STARTED = 601
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event with its fields."""
+    body = json.dumps(fields, default=str)
+    logger.bind(event=int(event)).info("{} {} {}", int(event), event.name, body)
+
+
+def open_log(*, vm: str, level: str = "INFO") -> None:
+    """Send the process's log to standard error, one event a line."""
+    logger.remove()
+    pattern = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} " + vm + " {message}"
+    logger.add(sys.stderr, level=level, format=pattern, diagnose=False, backtrace=False)
--- /dev/null
+++ b/src/skylarkrack/_metrics.py
@@ -0,0 +1,56 @@
+"""Counters and latency histograms of a process, in the usual text format."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+HIGHEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0)
+
+
+class Metrics:
+    """Counters by name and label, and histograms in milliseconds by name and label."""
+
+    __slots__ = ("_counter", "_histogram_by_key")
+
+    def __init__(self) -> None:
+        self._counter: Counter[tuple[str, str]] = Counter()
+        self._histogram_by_key: dict[tuple[str, str], HdrHistogram] = {}
+
+    def count(self, name: str, label: str = "", amount: float = 1) -> None:
+        """Add to a counter."""
+        self._counter[name, label] += amount
+
+    def observe_ms(self, name: str, value_ms: float, label: str = "") -> None:
+        """Record a duration."""
+        histogram = self._histogram_by_key.get((name, label))
+        if histogram is None:
+            histogram = HdrHistogram(1, HIGHEST_MS, SIGNIFICANT_DIGITS)
+            self._histogram_by_key[name, label] = histogram
+        histogram.record_value(max(1, min(HIGHEST_MS, round(value_ms))))
+
+    def counter(self, name: str, label: str = "") -> float:
+        """Return a counter's value."""
+        return self._counter[name, label]
+
+    def text(self) -> str:
+        """Return everything in the text format that scrapers read."""
+        lines = [f"{_series(name, label)} {value:g}" for (name, label), value in self._rows()]
+        for (name, label), histogram in sorted(self._histogram_by_key.items()):
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile)
+                lines.append(f"{_series(name, label, quantile)} {value}")
+            lines.append(f"{_series(name + '_count', label)} {histogram.get_total_count()}")
+        return "\n".join(lines) + "\n"
+
+    def _rows(self) -> list:
+        return sorted(self._counter.items())
+
+
+def _series(name: str, label: str, quantile: float | None = None) -> str:
+    labels = [f'of="{label}"'] if label else []
+    if quantile is not None:
+        labels.append(f'quantile="{quantile / 100:g}"')
+    joined = ",".join(labels)
+    return f"skylarkrack_{name}{{{joined}}}" if joined else f"skylarkrack_{name}"
--- /dev/null
+++ b/src/skylarkrack/_problems.py
@@ -0,0 +1,72 @@
+"""Readable problems of a settings file or a published list."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from difflib import get_close_matches
+
+from pydantic import BaseModel, ValidationError
+
+_SHOWN_LENGTH = 60
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """One fault: the file, the key in it, what was found and what is allowed."""
+
+    file: str
+    key: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: found {self.found}; allowed: {self.allowed}"
+
+
+def problems_of(error: ValidationError, *, file: str, model: type[BaseModel]) -> tuple:
+    """Return every fault of a pydantic validation as a tuple of `Problem`."""
+    return tuple(_problem(row, file=file, model=model) for row in error.errors())
+
+
+def _problem(row: dict, *, file: str, model: type[BaseModel]) -> Problem:
+    path = row["loc"]
+    key = ".".join(str(part) for part in path)
+    if row["type"] == "extra_forbidden":
+        known = _known_keys(model, path)
+        return Problem(file=file, key=key, found="unknown key", allowed=_nearest(path[-1], known))
+    if row["type"] == "missing":
+        return Problem(file=file, key=key, found="nothing", allowed="a value; the key is required")
+    found = repr(row["input"])[:_SHOWN_LENGTH]
+    return Problem(file=file, key=key, found=found, allowed=row["msg"])
+
+
+def _nearest(name: object, known: Iterable[str]) -> str:
+    known = sorted(known)
+    near = get_close_matches(str(name), known, n=1)
+    if near:
+        return f"did you mean {near[0]!r}?"
+    return "one of " + ", ".join(known)
+
+
+def _known_keys(model: type[BaseModel], path: tuple) -> Iterable[str]:
+    """Return the keys that *model* knows at the parent of *path*."""
+    current = model
+    for part in path[:-1]:
+        current = _step(current, part)
+    return current.model_fields if current else ()
+
+
+def _step(model: type[BaseModel] | None, part: object) -> type[BaseModel] | None:
+    field = model.model_fields.get(part) if model else None
+    if field is None:
+        return model
+    return _model_in(field.annotation)
+
+
+def _model_in(annotation: object) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    for argument in getattr(annotation, "__args__", ()):
+        found = _model_in(argument)
+        if found is not None:
+            return found
+    return None
--- /dev/null
+++ b/src/skylarkrack/_settings.py
@@ -0,0 +1,93 @@
+"""The settings file of one process: read from TOML, checked whole."""
+
+import tomllib
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from skylarkrack._errors import Code, FileRejected
+from skylarkrack._problems import Problem, problems_of
+
+
+def _is_address(value: str) -> str:
+    """Accept `IP:port` with an IP number; names are not looked up."""
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("an IP number and a port, as in 10.0.0.7:7100")
+    ip_address(host.strip("[]"))
+    return value
+
+
+Address = Annotated[str, AfterValidator(_is_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class EndpointSettings(_Table):
+    """The endpoint that an agent stands beside."""
+
+    kind: Literal["engine", "service"]
+    address: Address
+    service: Name | None = None
+    checks_fencing: bool = False
+
+
+class LimitSettings(_Table):
+    """Bounds on what one caller may make this process hold."""
+
+    head_bytes: int = Field(default=16_384, ge=1024, le=65_536)
+    body_bytes: int = Field(default=2_097_152, ge=1024, le=16_777_216)
+    read_timeout_ms: int = Field(default=10_000, ge=100, le=120_000)
+    connections: int = Field(default=4096, ge=1, le=65_536)
+    request_timeout_ms: int = Field(default=120_000, ge=100, le=3_600_000)
+
+
+class Settings(_Table):
+    """Settings of one daemon process; docs/OPERATING.md explains each key."""
+
+    role: Literal["entry", "agent"]
+    vm: Name
+    domain: Name
+    listen: Address
+    callers: Address | None = None
+    status: Address
+    platform: Address
+    endpoint: EndpointSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    log_level: Literal["DEBUG", "INFO", "WARNING"] = "INFO"
+
+    @model_validator(mode="after")
+    def _role_has_its_tables(self) -> "Settings":
+        if self.role == "entry" and self.callers is None:
+            raise ValueError("an entry needs the key 'callers'")
+        if self.role == "agent" and self.endpoint is None:
+            raise ValueError("an agent needs the table 'endpoint'")
+        return self
+
+
+def parse_settings(text: str, *, file: str) -> Settings:
+    """Return the settings in *text*, or raise `FileRejected` with every problem."""
+    try:
+        return Settings.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        problem = Problem(file=file, key="-", found=str(error), allowed="a TOML document")
+        raise FileRejected((problem,), code=Code.BAD_SETTINGS) from error
+    except ValidationError as error:
+        problems = problems_of(error, file=file, model=Settings)
+        raise FileRejected(problems, code=Code.BAD_SETTINGS) from error
+
+
+def read_settings(path: str) -> Settings:
+    """Read and check the settings file at *path*."""
+    return parse_settings(Path(path).read_text(encoding="utf-8"), file=path)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of a checked `IP:port`."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/src/skylarkrack/_status.py
@@ -0,0 +1,70 @@
+"""What operators ask a process, on its status address."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from skylarkrack._burn import BurnMeter
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, RequestRefused
+from skylarkrack._metrics import Metrics
+from skylarkrack._settings import LimitSettings
+from skylarkrack._traces import Traces
+from skylarkrack.web import HttpServer, Request, Responder
+
+_JSON = [(b"content-type", b"application/json")]
+_TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatusSources:
+    """Where the answers come from."""
+
+    describe: Callable[[], dict]
+    metrics: Metrics
+    burn: BurnMeter
+    traces: Traces
+
+
+class StatusServer:
+    """Serves /state, /metrics, /burn and /explain/ID."""
+
+    __slots__ = ("_server", "_sources")
+
+    def __init__(self, sources: StatusSources, *, limits: LimitSettings) -> None:
+        self._sources = sources
+        self._server = HttpServer(self._handle, refuse=_refuse, limits=limits, name="status")
+
+    async def start(self, address: str) -> None:
+        """Listen on *address*."""
+        await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        sources = self._sources
+        path = request.path
+        if path == "/metrics":
+            responder.whole(200, _TEXT, sources.metrics.text().encode())
+        elif path == "/state":
+            _write(responder, sources.describe())
+        elif path == "/burn":
+            _write(responder, {"rows": sources.burn.report(monotonic_ms())})
+        elif path.startswith("/explain/"):
+            trace = sources.traces.find(path.removeprefix("/explain/"))
+            if trace is None:
+                raise RequestRefused("no such request here", code=Code.NO_SUCH_PATH)
+            _write(responder, trace.describe())
+        else:
+            raise RequestRefused("no such path", code=Code.NO_SUCH_PATH)
+
+
+def _write(responder: Responder, document: dict) -> None:
+    responder.whole(200, _JSON, json.dumps(document, default=str).encode())
+
+
+def _refuse(responder: Responder, refusal: RequestRefused) -> None:
+    body = json.dumps({"code": int(refusal.code), "message": str(refusal)}).encode()
+    responder.whole(404 if refusal.code is Code.NO_SUCH_PATH else 400, _JSON, body)
--- /dev/null
+++ b/src/skylarkrack/agent/_agent.py
@@ -0,0 +1,167 @@
+"""The agent process: its links to entries, its configuration, and its endpoint side."""
+
+import asyncio
+from functools import singledispatchmethod
+from random import Random
+
+from skylarkrack._burn import BurnMeter
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._events import Event, log
+from skylarkrack._keeper import ConfigKeeper
+from skylarkrack._links import Links
+from skylarkrack._metrics import Metrics
+from skylarkrack._settings import EndpointSettings, Settings
+from skylarkrack._status import StatusServer, StatusSources
+from skylarkrack._traces import Traces
+from skylarkrack.agent._endpoint import EndpointSide
+from skylarkrack.agent._engine_side import EngineSide
+from skylarkrack.agent._service_side import ServiceSide
+from skylarkrack.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    Ping,
+    Pong,
+    Value,
+    ValuesEnd,
+    ValuesRequest,
+)
+from skylarkrack.ports import EnginePort, PlatformPort, ServicePort
+from skylarkrack.wire import Link, accept_links
+
+DRAIN_NOTICE_MS = 500
+"""How long a stopping agent stays after its last answer, so that entries have read it."""
+
+
+class Agent:
+    """One agent process."""
+
+    __slots__ = (
+        "_incarnation",
+        "_is_leaving",
+        "_keeper",
+        "_links",
+        "_server",
+        "_settings",
+        "_side",
+        "_status",
+    )
+
+    def __init__(
+        self, settings: Settings, *, platform: PlatformPort, incarnation: str, random: Random
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._is_leaving = False
+        self._server: asyncio.Server | None = None
+        self._links = Links(self)
+        self._keeper = ConfigKeeper(
+            vm=settings.vm, platform=platform, random=random, on_change=self._update
+        )
+        self._side = self._build_side(settings.endpoint)
+        sources = StatusSources(
+            describe=self._describe, metrics=Metrics(), burn=BurnMeter(), traces=Traces()
+        )
+        self._status = StatusServer(sources, limits=settings.limits)
+
+    def _build_side(self, endpoint: EndpointSettings) -> EndpointSide:
+        vm, links = self._settings.vm, self._links
+        if endpoint.kind == "engine":
+            return EngineSide(vm=vm, engine=EnginePort(endpoint.address), links=links)
+        return ServiceSide(
+            name=endpoint.service or "",
+            vm=vm,
+            incarnation=self._incarnation,
+            port=ServicePort(endpoint.address),
+            links=links,
+        )
+
+    async def start(self) -> None:
+        """Open the sockets, and begin to watch the platform and the endpoint."""
+        self._server = await accept_links(self, self._settings.listen)
+        await self._status.start(self._settings.status)
+        await self._keeper.start()
+        await self._side.start()
+
+    async def drain(self) -> None:
+        """Take no new work and finish what was taken."""
+        log(Event.DRAIN_STARTED)
+        self._is_leaving = True
+        await self._side.drain()
+        await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self._side.close()
+        await self._status.close()
+        await self._keeper.close()
+        self._links.close()
+        if self._server is not None:
+            self._server.close()
+
+    # The process behind its links
+
+    def hello(self) -> Hello:
+        """Introduce this process."""
+        return Hello(
+            protocol=PROTOCOL_VERSION,
+            role="agent",
+            vm=self._settings.vm,
+            domain=self._settings.domain,
+            incarnation=self._incarnation,
+        )
+
+    def pong(self, ping: Ping) -> Pong:
+        """Answer a heartbeat."""
+        return self._keeper.pong(ping, leaving=self._is_leaving)
+
+    def pong_heard(self, link: Link, pong: Pong, asked_ms: float) -> None:
+        """Take in what an entry knows."""
+        self._keeper.pong_heard(link, pong, asked_ms)
+
+    def link_up(self, link: Link) -> None:
+        """Register a link and tell the entry of the endpoint."""
+        log(Event.LINK_UP, vm=link.vm)
+        self._links.add(link)
+        link.send(self._side.report())
+
+    def link_down(self, link: Link) -> None:
+        """Let go of what came over a link that has ended."""
+        log(Event.LINK_DOWN, vm=link.vm)
+        self._links.remove(link)
+        self._side.link_down(link)
+        if self._links.of(link.vm) is None:
+            self._keeper.link_down(link.vm)
+
+    @singledispatchmethod
+    def _hear(self, message: object, link: Link) -> None:
+        self._side.heard(link, message)
+
+    def heard(self, link: Link, message: object) -> None:
+        """Take a message."""
+        self._hear(message, link)
+
+    @_hear.register
+    def _(self, message: ValuesRequest, link: Link) -> None:
+        self._keeper.give_values(link, message)
+
+    @_hear.register
+    def _(self, message: Value, link: Link) -> None:
+        self._keeper.take_value(message)
+
+    @_hear.register
+    def _(self, message: ValuesEnd, link: Link) -> None:
+        self._keeper.take_end(message)
+
+    def _update(self) -> None:
+        self._side.update(self._keeper.catalogue)
+
+    def _describe(self) -> dict[str, object]:
+        return {
+            "vm": self._settings.vm,
+            "role": "agent",
+            "incarnation": self._incarnation,
+            "leaving": self._is_leaving,
+            "configuration": self._keeper.describe(monotonic_ms()),
+            "links": self._links.describe(),
+            "endpoint": self._side.describe(),
+        }
--- /dev/null
+++ b/src/skylarkrack/agent/_engine_side.py
@@ -0,0 +1,427 @@
+"""The endpoint side of an agent beside a model engine: the shell around `EngineCore`."""
+
+import asyncio
+import itertools
+from functools import singledispatchmethod
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, LinkLost, Outcome
+from skylarkrack._events import Event, log
+from skylarkrack._links import Links
+from skylarkrack.agent._usage import StreamTail, Usage, usage_of_body
+from skylarkrack.core import (
+    AgentTicked,
+    AskPermit,
+    Catalogue,
+    DrainBegun,
+    EngineCore,
+    EngineLost,
+    LinkGone,
+    OrderEnded,
+    OrderLoad,
+    OrderTimedOut,
+    OrderUnload,
+    PermitAnswered,
+    RefuseRun,
+    RunEnded,
+    RunLost,
+    RunOffered,
+    StartRun,
+    StopRun,
+    TellCleared,
+    TellSuspects,
+)
+from skylarkrack.messages import (
+    Cancel,
+    Chunk,
+    Cleared,
+    End,
+    EndpointReport,
+    Failed,
+    Head,
+    LoadPermit,
+    LoadPermitRequest,
+    Run,
+    Suspects,
+)
+from skylarkrack.ports import EngineAnswer, EnginePort, OrderAnswer
+from skylarkrack.wire import Link
+
+TICK_MS = 20
+STATUS_MS = 250
+"""Interval at which the engine's own report is read."""
+
+STATUS_FAILURES = 3
+"""Failed reads in a row after which the engine is taken for lost."""
+
+TOKEN_TIMEOUT_MS = 15_000
+"""Longest silence of an engine within an answer."""
+
+PERMIT_TIMEOUT_MS = 2000
+PERMIT_RETRY_MS = 200
+
+
+class _WrongAnswer(Exception):
+    """Raised when something other than the ordered adapter answers."""
+
+
+class EngineSide:
+    """Runs requests on one engine and carries out what its core decides."""
+
+    __slots__ = (
+        "_core",
+        "_engine",
+        "_failures",
+        "_is_dirty",
+        "_link_by_id",
+        "_links",
+        "_model",
+        "_permits",
+        "_sequence",
+        "_task_by_id",
+        "_tasks",
+        "_vm",
+    )
+
+    def __init__(self, *, vm: str, engine: EnginePort, links: Links) -> None:
+        self._vm = vm
+        self._engine = engine
+        self._links = links
+        self._core = EngineCore()
+        self._model = ""
+        self._failures = 0
+        self._is_dirty = True
+        self._link_by_id: dict[str, Link] = {}
+        self._task_by_id: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._permits: dict[int, asyncio.Future] = {}
+        self._sequence = itertools.count(1)
+
+    async def start(self) -> None:
+        """Begin to watch the engine."""
+        self._spawn(self._watch())
+        self._spawn(self._tick())
+
+    async def close(self) -> None:
+        """End everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._engine.close()
+
+    async def drain(self) -> None:
+        """Take no new work, and wait for the end of what was taken."""
+        self._do(DrainBegun())
+        while not self._core.is_idle:  # noqa: ASYNC110 - the core has no event to wait for
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def update(self, catalogue: Catalogue) -> None:
+        """Take in which model the roster says this engine serves."""
+        vm = catalogue.vm_by_name.get(self._vm)
+        self._model = vm.model or "" if vm else ""
+        self._is_dirty = True
+
+    def report(self) -> EndpointReport:
+        """Return what entries are told of the engine."""
+        return EndpointReport(
+            model=self._model,
+            service="",
+            ready=self._core.is_ready,
+            running=self._core.running,
+            waiting=self._core.waiting,
+            capacity=self._core.capacity,
+            resident=self._core.resident_names(),
+            leaving=False,
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for `skylarkctl state`."""
+        names = self._core.resident_names()
+        return {
+            "engine_incarnation": self._core.incarnation,
+            "model": self._model,
+            "running": self._core.running,
+            "waiting": self._core.waiting,
+            "capacity": self._core.capacity,
+            "resident": {name: {"pins": self._core.pins(name)} for name in names},
+        }
+
+    # Messages of entries
+
+    @singledispatchmethod
+    def _hear(self, message: object, link: Link) -> None:
+        """Ignore what is meant for the other kind of agent."""
+
+    def heard(self, link: Link, message: object) -> None:
+        """Take a message of an entry."""
+        self._hear(message, link)
+
+    @_hear.register
+    def _(self, message: Run, link: Link) -> None:
+        self._link_by_id[message.request_id] = link
+        self._do(RunOffered(run=message, link=link))
+
+    @_hear.register
+    def _(self, message: Cancel, link: Link) -> None:
+        if self._link_by_id.get(message.request_id) is link:
+            self._do(message)
+
+    @_hear.register
+    def _(self, message: LoadPermit, link: Link) -> None:
+        future = self._permits.pop(message.sequence, None)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    def link_down(self, link: Link) -> None:
+        """Nobody waits any more for what came over this link."""
+        self._do(LinkGone(link=link))
+
+    # Time and the engine's reports
+
+    async def _tick(self) -> None:
+        while True:
+            self._do(AgentTicked())
+            self._tell_report()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def _watch(self) -> None:
+        while True:
+            await self._read_status()
+            await asyncio.sleep(STATUS_MS / 1000)
+
+    async def _read_status(self) -> None:
+        try:
+            seen = await self._engine.status()
+        except LinkLost as error:
+            self._failures += 1
+            if not error.sent or self._failures >= STATUS_FAILURES:
+                self._lose_engine()
+            return
+        self._failures = 0
+        if seen.incarnation != self._core.incarnation:
+            log(Event.ENGINE_UP, incarnation=seen.incarnation, resident=len(seen.resident))
+        self._do(seen)
+
+    def _lose_engine(self) -> None:
+        if self._core.incarnation is not None:
+            log(Event.ENGINE_DOWN, incarnation=self._core.incarnation)
+            self._do(EngineLost())
+
+    def _tell_report(self) -> None:
+        if not self._is_dirty:
+            return
+        self._is_dirty = False
+        report = self.report()
+        for link in self._links.all_of("entry"):
+            link.send(report)
+
+    # Actions
+
+    def _do(self, event: object) -> None:
+        self._is_dirty = self._is_dirty or not isinstance(event, AgentTicked)
+        for action in self._core.handle(event, monotonic_ms()):
+            self._is_dirty = True
+            self._act(action)
+
+    @singledispatchmethod
+    def _act(self, action: object) -> None:
+        raise TypeError(f"no engine action: {type(action).__name__}")
+
+    @_act.register
+    def _(self, action: RefuseRun) -> None:
+        self._fail(
+            action.request_id,
+            action.code,
+            action.outcome,
+            retry_after_ms=action.retry_after_ms,
+            detail=action.detail,
+        )
+        task = self._task_by_id.pop(action.request_id, None)
+        if task is not None:
+            task.cancel()
+
+    @_act.register
+    def _(self, action: StartRun) -> None:
+        request_id = action.run.request_id
+        self._task_by_id[request_id] = self._spawn(self._run(action))
+
+    @_act.register
+    def _(self, action: StopRun) -> None:
+        self._spawn(self._stop(action.request_id))
+
+    @_act.register
+    def _(self, action: AskPermit) -> None:
+        self._spawn(self._ask_permit())
+
+    @_act.register
+    def _(self, action: OrderLoad) -> None:
+        log(Event.LOAD_ORDERED, served=action.served, order=action.order)
+        self._spawn(self._order(action.order, self._engine.load(action.served, fence=action.order)))
+
+    @_act.register
+    def _(self, action: OrderUnload) -> None:
+        log(Event.EVICTED, served=action.served, order=action.order)
+        call = self._engine.unload(action.served, fence=action.order)
+        self._spawn(self._order(action.order, call))
+
+    @_act.register
+    def _(self, action: TellSuspects) -> None:
+        log(Event.CRASH_SUSPECTS, crash=action.crash_id, suspects=len(action.fingerprints))
+        message = Suspects(
+            crash_id=f"{self._vm}~{action.crash_id}", fingerprints=list(action.fingerprints)
+        )
+        for link in self._links.all_of("entry"):
+            link.send(message)
+
+    @_act.register
+    def _(self, action: TellCleared) -> None:
+        for link in self._links.all_of("entry"):
+            link.send(Cleared(fingerprints=list(action.fingerprints)))
+
+    # Runs
+
+    async def _run(self, action: StartRun) -> None:
+        run = action.run
+        try:
+            answer = await self._engine.run(
+                request_id=run.request_id, path=run.path, body=run.body, priority=run.priority
+            )
+            try:
+                await self._relay(action, answer)
+            finally:
+                answer.response.close()
+        except LinkLost:
+            self._run_lost(run.request_id)
+        except _WrongAnswer:
+            log(Event.WRONG_ECHO, request_id=run.request_id, served=action.served)
+            self._fail(run.request_id, Code.WRONG_ADAPTER, Outcome.RAN)
+            await self._stop(run.request_id)
+
+    async def _relay(self, action: StartRun, answer: EngineAnswer) -> None:
+        """Relay an answer once the engine's own word shows that the right adapter gives it."""
+        run = action.run
+        if answer.response.status != 200:
+            await self._relay_error(run, answer)
+            return
+        if answer.served != action.served or answer.incarnation != action.incarnation:
+            raise _WrongAnswer
+        link = self._link_by_id[run.request_id]
+        link.send(Head(request_id=run.request_id, status=200, headers=answer.response.headers))
+        if run.stream:
+            size, usage = await self._relay_stream(run, answer, link)
+        else:
+            size, usage = await self._relay_whole(run, answer, link)
+        if usage is None:
+            self._fail(run.request_id, Code.TRUNCATED, Outcome.RAN)
+        else:
+            self._finish(run.request_id, link, size, usage)
+        self._do(RunEnded(request_id=run.request_id))
+
+    async def _relay_stream(
+        self, run: Run, answer: EngineAnswer, link: Link
+    ) -> tuple[int, Usage | None]:
+        tail, size = StreamTail(with_usage=run.with_usage), 0
+        async for part in answer.response.parts(timeout_ms=TOKEN_TIMEOUT_MS):
+            data = tail.feed(part)
+            if data:
+                link.send(Chunk(request_id=run.request_id, offset=size, data=data))
+                size += len(data)
+        return size, tail.usage if tail.is_whole else None
+
+    async def _relay_whole(
+        self, run: Run, answer: EngineAnswer, link: Link
+    ) -> tuple[int, Usage | None]:
+        body = await answer.response.whole(timeout_ms=TOKEN_TIMEOUT_MS)
+        link.send(Chunk(request_id=run.request_id, offset=0, data=body))
+        return len(body), usage_of_body(body)
+
+    async def _relay_error(self, run: Run, answer: EngineAnswer) -> None:
+        body = await answer.response.whole(timeout_ms=TOKEN_TIMEOUT_MS)
+        detail = f"the engine answered {answer.response.status}: {body[:200]!r}"
+        self._fail(run.request_id, Code.ENGINE_ERROR, Outcome.UNKNOWN, detail=detail)
+        self._do(RunEnded(request_id=run.request_id))
+
+    def _finish(self, request_id: str, link: Link, size: int, usage: Usage) -> None:
+        self._link_by_id.pop(request_id, None)
+        self._task_by_id.pop(request_id, None)
+        link.send(
+            End(
+                request_id=request_id,
+                size=size,
+                prompt_tokens=usage.prompt_tokens,
+                answer_tokens=usage.answer_tokens,
+            )
+        )
+
+    def _run_lost(self, request_id: str) -> None:
+        """The connection broke: the engine may run on, or may have crashed."""
+        self._do(RunLost(request_id=request_id))
+        self._spawn(self._read_status())
+        self._spawn(self._stop(request_id))
+
+    async def _stop(self, request_id: str) -> None:
+        """Cancel a run; its adapter stays pinned until the engine confirms the end."""
+        is_ended = await self._engine.cancel(request_id)
+        task = self._task_by_id.pop(request_id, None)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        self._fail(request_id, Code.ENDPOINT_LOST, Outcome.UNKNOWN)
+        if is_ended:
+            self._do(RunEnded(request_id=request_id))
+        else:
+            self._do(RunLost(request_id=request_id))
+
+    def _fail(
+        self,
+        request_id: str,
+        code: Code,
+        outcome: Outcome,
+        *,
+        retry_after_ms: int | None = None,
+        detail: str = "",
+    ) -> None:
+        """Tell the entry, once, that there will be no answer."""
+        link = self._link_by_id.pop(request_id, None)
+        if link is not None:
+            link.send(
+                Failed(
+                    request_id=request_id,
+                    code=int(code),
+                    outcome=str(outcome),
+                    retry_after_ms=-1 if retry_after_ms is None else retry_after_ms,
+                    detail=detail,
+                )
+            )
+
+    # Orders
+
+    async def _ask_permit(self) -> None:
+        """Ask any entry for one load of the weight store's budget."""
+        links = self._links.all_of("entry")
+        if not links:
+            self._do(PermitAnswered(granted=False, retry_after_ms=PERMIT_RETRY_MS))
+            return
+        sequence = next(self._sequence)
+        future = self._permits[sequence] = asyncio.get_running_loop().create_future()
+        links[sequence % len(links)].send(LoadPermitRequest(sequence=sequence))
+        try:
+            async with asyncio.timeout(PERMIT_TIMEOUT_MS / 1000):
+                permit = await future
+        except TimeoutError:
+            self._permits.pop(sequence, None)
+            self._do(PermitAnswered(granted=False, retry_after_ms=PERMIT_RETRY_MS))
+            return
+        self._do(PermitAnswered(granted=permit.granted, retry_after_ms=permit.retry_after_ms))
+
+    async def _order(self, number: int, call: object) -> None:
+        answer = await call
+        log(Event.LOAD_ENDED, order=number, answer=answer.value)
+        if answer is OrderAnswer.NO_ANSWER:
+            self._do(OrderTimedOut(number=number))
+        else:
+            self._do(OrderEnded(number=number, done=answer is OrderAnswer.DONE))
+
+    def _spawn(self, coroutine: object) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/src/skylarkrack/agent/_service_side.py
@@ -0,0 +1,296 @@
+"""The endpoint side of an agent beside a plain service: the shell around `Ledger`."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, LinkLost, Outcome
+from skylarkrack._links import Links
+from skylarkrack.core import Catalogue, KeptAnswer, Ledger, RefuseRun, ReplayAnswer, StartCall
+from skylarkrack.messages import (
+    Call,
+    Cancel,
+    Chunk,
+    Confirm,
+    Confirmed,
+    End,
+    EndpointReport,
+    Failed,
+    Head,
+    Ticket,
+    TicketRequest,
+)
+from skylarkrack.ports import SERVICE_TIMEOUT_MS, ServicePort
+from skylarkrack.wire import Link
+
+PROBE_MS = 500
+CONFIRM_MS = 1000
+"""How old an entry's confirmation may be when the call is handed to the service."""
+
+CAPACITY = 64
+"""Calls that the service is handed at once."""
+
+_TICKET_CODES = (Code.MAY_HAVE_RUN,)
+
+
+class ServiceSide:
+    """Calls one plain service, and those that may not be repeated at most once."""
+
+    __slots__ = (
+        "_confirm_by_id",
+        "_is_draining",
+        "_is_up",
+        "_ledger",
+        "_links",
+        "_name",
+        "_port",
+        "_reported",
+        "_running",
+        "_task_by_id",
+        "_tasks",
+    )
+
+    def __init__(
+        self, *, name: str, vm: str, incarnation: str, port: ServicePort, links: Links
+    ) -> None:
+        self._name = name
+        self._port = port
+        self._links = links
+        self._ledger = Ledger(vm=vm, incarnation=incarnation, now_ms=monotonic_ms())
+        self._is_up = False
+        self._is_draining = False
+        self._running = 0
+        self._reported: EndpointReport | None = None
+        self._confirm_by_id: dict[str, asyncio.Future] = {}
+        self._task_by_id: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Begin to watch the service."""
+        self._spawn(self._watch())
+
+    async def close(self) -> None:
+        """End everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._port.close()
+
+    async def drain(self) -> None:
+        """Take no new work, and wait for the end of what was taken."""
+        self._is_draining = True
+        self._tell_report()
+        while self._running:  # noqa: ASYNC110 - bounded by each call's own time-out
+            await asyncio.sleep(0.02)
+
+    def update(self, catalogue: Catalogue) -> None:
+        """Take in the roster of the service's agents."""
+        agents = set(catalogue.agents_of(self._name))
+        self._ledger.observe_agents(agents, now_ms=monotonic_ms())
+
+    def report(self) -> EndpointReport:
+        """Return what entries are told of the service."""
+        return EndpointReport(
+            model="",
+            service=self._name,
+            ready=self._is_up and not self._is_draining,
+            running=self._running,
+            waiting=0,
+            capacity=CAPACITY,
+            resident=[],
+            leaving=False,
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for `skylarkctl state`."""
+        return {"service": self._name, "running": self._running, "keys": len(self._ledger)}
+
+    def link_down(self, link: Link) -> None:
+        """Calls that have started go on: their end belongs in the ledger."""
+
+    # Messages of entries
+
+    @singledispatchmethod
+    def _hear(self, message: object, link: Link) -> None:
+        """Ignore what is meant for the other kind of agent."""
+
+    def heard(self, link: Link, message: object) -> None:
+        """Take a message of an entry."""
+        self._hear(message, link)
+
+    @_hear.register
+    def _(self, message: Call, link: Link) -> None:
+        refusal = self._refusal()
+        if refusal is not None:
+            _fail(link, message.request_id, refusal, Outcome.NOT_RUN)
+            return
+        self._running += 1
+        self._task_by_id[message.request_id] = self._spawn(self._serve(message, link))
+
+    @_hear.register
+    def _(self, message: Cancel, link: Link) -> None:
+        # A keyed call runs to its end, so that whoever repeats it gets its answer.
+        task = self._task_by_id.get(message.request_id)
+        if task is not None:
+            task.cancel()
+
+    @_hear.register
+    def _(self, message: Confirmed, link: Link) -> None:
+        future = self._confirm_by_id.pop(message.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(None)
+
+    @_hear.register
+    def _(self, message: TicketRequest, link: Link) -> None:
+        ticket = self._ledger.ticket(monotonic_ms())
+        link.send(Ticket(request_id=message.request_id, ticket=ticket))
+
+    def _refusal(self) -> Code | None:
+        if self._is_draining:
+            return Code.DRAINING
+        if not self._is_up:
+            return Code.NO_ENDPOINT
+        return Code.QUEUE_FULL if self._running >= CAPACITY else None
+
+    # Calls
+
+    async def _serve(self, call: Call, link: Link) -> None:
+        try:
+            if call.idempotency_key:
+                self._task_by_id.pop(call.request_id, None)
+                await self._serve_once(call, link)
+            else:
+                await self._serve_repeatable(call, link)
+        finally:
+            self._running -= 1
+            self._task_by_id.pop(call.request_id, None)
+
+    async def _serve_repeatable(self, call: Call, link: Link) -> None:
+        try:
+            answer = await self._answer(call)
+        except LinkLost as error:
+            outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
+            _fail(link, call.request_id, Code.ENDPOINT_LOST, outcome)
+            return
+        _send_answer(link, call.request_id, answer)
+
+    async def _serve_once(self, call: Call, link: Link) -> None:
+        if not await self._is_confirmed(call, link):
+            _fail(link, call.request_id, Code.DEADLINE, Outcome.NOT_RUN)
+            return
+        decision = self._ledger.offer(call, now_ms=monotonic_ms())
+        await self._decide(decision, call, link)
+
+    @singledispatchmethod
+    async def _decide(self, decision: object, call: Call, link: Link) -> None:
+        raise TypeError(f"no ledger decision: {type(decision).__name__}")
+
+    @_decide.register
+    async def _(self, decision: StartCall, call: Call, link: Link) -> None:
+        try:
+            answer = await self._answer(call)
+        except LinkLost as error:
+            self._lose(call, link, error)
+            return
+        except asyncio.CancelledError:
+            self._ledger.lose(call, now_ms=monotonic_ms())
+            raise
+        self._ledger.end(call, answer, now_ms=monotonic_ms())
+        _send_answer(link, call.request_id, answer)
+
+    @_decide.register
+    async def _(self, decision: ReplayAnswer, call: Call, link: Link) -> None:
+        _send_answer(link, call.request_id, decision.answer)
+
+    @_decide.register
+    async def _(self, decision: RefuseRun, call: Call, link: Link) -> None:
+        ticket = self._ledger.ticket(monotonic_ms()) if decision.code in _TICKET_CODES else ""
+        _fail(
+            link,
+            call.request_id,
+            decision.code,
+            decision.outcome,
+            retry_after_ms=decision.retry_after_ms,
+            ticket=ticket,
+        )
+
+    def _lose(self, call: Call, link: Link, error: LinkLost) -> None:
+        if error.sent:
+            self._ledger.lose(call, now_ms=monotonic_ms())
+            _fail(link, call.request_id, Code.MAY_HAVE_RUN, Outcome.UNKNOWN)
+            return
+        self._ledger.withdraw(call)
+        _fail(link, call.request_id, Code.NO_ENDPOINT, Outcome.NOT_RUN)
+
+    async def _is_confirmed(self, call: Call, link: Link) -> bool:
+        """Ask the entry whether the call is still wanted.
+
+        A process that was paused with the call in hand would otherwise run it long after its
+        caller was told that the outcome is unknown, and perhaps sent it again elsewhere.
+        """
+        asked_ms = monotonic_ms()
+        future = self._confirm_by_id[call.request_id] = asyncio.get_running_loop().create_future()
+        link.send(Confirm(request_id=call.request_id))
+        try:
+            async with asyncio.timeout(CONFIRM_MS / 1000):
+                await future
+        except TimeoutError:
+            return False
+        finally:
+            self._confirm_by_id.pop(call.request_id, None)
+        return monotonic_ms() - asked_ms <= CONFIRM_MS
+
+    async def _answer(self, call: Call) -> KeptAnswer:
+        """Return the service's whole answer, or raise `LinkLost`."""
+        response = await self._port.call(call)
+        body = await response.whole(timeout_ms=SERVICE_TIMEOUT_MS)
+        return KeptAnswer(status=response.status, headers=tuple(response.headers), body=body)
+
+    # The service's health
+
+    async def _watch(self) -> None:
+        while True:
+            self._is_up = await self._port.is_up()
+            self._tell_report()
+            await asyncio.sleep(PROBE_MS / 1000)
+
+    def _tell_report(self) -> None:
+        report = self.report()
+        if report == self._reported:
+            return
+        self._reported = report
+        for link in self._links.all_of("entry"):
+            link.send(report)
+
+    def _spawn(self, coroutine: object) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _send_answer(link: Link, request_id: str, answer: KeptAnswer) -> None:
+    headers = [list(pair) for pair in answer.headers]
+    link.send(Head(request_id=request_id, status=answer.status, headers=headers))
+    link.send(Chunk(request_id=request_id, offset=0, data=answer.body))
+    size = len(answer.body)
+    link.send(End(request_id=request_id, size=size, prompt_tokens=0, answer_tokens=0))
+
+
+def _fail(
+    link: Link,
+    request_id: str,
+    code: Code,
+    outcome: Outcome,
+    *,
+    retry_after_ms: int | None = None,
+    ticket: str = "",
+) -> None:
+    link.send(
+        Failed(
+            request_id=request_id,
+            code=int(code),
+            outcome=str(outcome),
+            retry_after_ms=-1 if retry_after_ms is None else retry_after_ms,
+            ticket=ticket,
+        )
+    )
--- /dev/null
+++ b/src/skylarkrack/core/_budget.py
@@ -0,0 +1,528 @@
+"""Fleet budgets (an organisation's tokens, the weight store's loads) without shared state.
+
+Every entry holds a fixed share of every budget; the shares add up to the whole. So that uneven
+balancing refuses nobody wrongly, each budget has a home, found by rendezvous hashing, to which
+the members pledge their shares for a short lease; the home answers reservations out of the pool.
+A member that loses its home waits until its pledge has certainly ended, then spends its own share,
+empty at first. At any moment a share is usable in one place only, so the sum of all grants stays
+within rate and burst through partitions, replaced processes, and processes that wake up late.
+"""
+
+from collections.abc import Mapping, Set
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from skylarkrack._errors import Code
+from skylarkrack.core._actions import DenyTokens, GrantTokens, Send
+from skylarkrack.core._bucket import Bucket
+from skylarkrack.core._hashing import rendezvous_first
+from skylarkrack.core._pool import Pool, PooledShare, Verdict
+from skylarkrack.core._shares import PLEDGE_LEASE_MS, PLEDGE_MARGIN_MS, ShareSchedule
+from skylarkrack.messages import (
+    NotReserved,
+    Pledge,
+    PledgeRequest,
+    Refund,
+    Reserve,
+    Reserved,
+)
+
+RENEW_MS = 400
+"""Interval at which a home renews the pledges of its active budgets."""
+
+ACTIVE_MS = 60_000
+"""How long after its last use a budget stays pooled."""
+
+ANSWER_MS = 1400
+"""How long a reservation may take at the home; a later grant is not used."""
+
+STORE_BUDGET = "store"
+"""Name of the weight store's budget, counted in loads."""
+
+FOREVER_MS = float("inf")
+
+OWN_SHARE = 0
+"""Pool number of grants out of an entry's own share."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limit:
+    """Rate a second and burst of one budget over the whole fleet."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitsChanged:
+    """The limits in force, by budget name."""
+
+    limit_by_budget: Mapping[str, Limit]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntriesChanged:
+    """The roster of entries in force."""
+
+    entries: Set[str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinksChanged:
+    """The entries that this one has a live link to."""
+
+    linked: Set[str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TokensWanted:
+    """A request of this process wants *tokens*; *ticket* names it in the answer."""
+
+    ticket: object
+    budget: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TokensUnused:
+    """A request is done and *tokens* of its grant are left over."""
+
+    grant: GrantTokens
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSaid:
+    """A message about budgets came from the entry on *vm*."""
+
+    vm: str
+    message: object
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticked:
+    """Time has passed."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Share:
+    """This entry's own share of a budget, and to whom it is pledged."""
+
+    bucket: Bucket
+    pledged_to: str | None = None
+    pledged_until_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Asked:
+    """A reservation sent to a home."""
+
+    wanted: TokensWanted
+    vm: str
+    deadline_ms: float
+
+
+class BudgetCore:
+    """The decisions on all budgets in one entry: events and the time go in, actions come out."""
+
+    __slots__ = (
+        "_asked_by_sequence",
+        "_entries",
+        "_held",
+        "_limit_by_budget",
+        "_linked",
+        "_next_renewal_ms",
+        "_pool_by_budget",
+        "_pool_count",
+        "_renewal_sent_ms",
+        "_schedule",
+        "_sequence",
+        "_share_by_budget",
+        "_vm",
+    )
+
+    def __init__(self, *, vm: str) -> None:
+        self._vm = vm
+        self._schedule = ShareSchedule(vm=vm)
+        self._entries: frozenset[str] = frozenset()
+        self._linked: frozenset[str] = frozenset()
+        self._limit_by_budget: dict[str, Limit] = {}
+        self._share_by_budget: dict[str, _Share] = {}
+        self._pool_by_budget: dict[str, Pool] = {}
+        self._pool_count = 0
+        self._asked_by_sequence: dict[int, _Asked] = {}
+        self._held: list[tuple[float, TokensWanted]] = []
+        self._renewal_sent_ms: dict[int, float] = {}
+        self._next_renewal_ms = 0.0
+        self._sequence = 0
+
+    # Queries
+
+    def home_of(self, budget: str) -> str | None:
+        """Return the entry that is the home of *budget* in the roster in force."""
+        return rendezvous_first(budget, self._entries)
+
+    def is_settled(self, now_ms: float) -> bool:
+        """Tell whether this entry's shares of the newest roster are in force."""
+        return self._schedule.is_settled(now_ms)
+
+    def describe(self, now_ms: float) -> dict[str, object]:
+        """Return the state for `skylarkctl state`."""
+        return {
+            "fraction": self._schedule.fraction(now_ms),
+            "settled": self._schedule.is_settled(now_ms),
+            "budgets": {name: self._describe(name, now_ms) for name in self._limit_by_budget},
+        }
+
+    def _describe(self, budget: str, now_ms: float) -> dict[str, object]:
+        share, pool = self._share_by_budget[budget], self._pool_by_budget.get(budget)
+        return {
+            "home": self.home_of(budget),
+            "pledged_to": share.pledged_to if share.pledged_until_ms > now_ms else None,
+            "pool_level": round(pool.level(now_ms)) if pool else None,
+            "pool_capacity": round(pool.capacity(now_ms)) if pool else None,
+        }
+
+    # Commands
+
+    @singledispatchmethod
+    def handle(self, event: object, now_ms: float) -> list:
+        """Take in *event* at *now_ms* and return the actions it leads to."""
+        raise TypeError(f"no budget event: {type(event).__name__}")
+
+    @handle.register
+    def _(self, event: LimitsChanged, now_ms: float) -> list:
+        self._limit_by_budget = dict(event.limit_by_budget)
+        for budget in self._limit_by_budget.keys() - self._share_by_budget.keys():
+            bucket = Bucket(rate=0, capacity=0, now_ms=now_ms)
+            self._share_by_budget[budget] = _Share(bucket=bucket)
+        self._reshape_shares(now_ms)
+        actions = []
+        for budget in self._pool_by_budget.keys() - self._limit_by_budget.keys():
+            actions += self._close_pool(budget, now_ms)
+        return actions
+
+    @handle.register
+    def _(self, event: EntriesChanged, now_ms: float) -> list:
+        self._entries = frozenset(event.entries)
+        self._schedule.observe(self._entries, now_ms=now_ms)
+        self._reshape_shares(now_ms)
+        return self._leave_lost_homes(now_ms)
+
+    @handle.register
+    def _(self, event: LinksChanged, now_ms: float) -> list:
+        self._linked = frozenset(event.linked)
+        return self._give_up_lost(now_ms)
+
+    @handle.register
+    def _(self, event: TokensWanted, now_ms: float) -> list:
+        limit = self._limit_by_budget.get(event.budget)
+        if limit is None:
+            return [_deny(event.ticket, Code.PLAN_LAPSED, None)]
+        if event.tokens > limit.burst:
+            return [_deny(event.ticket, Code.LARGER_THAN_BURST, None)]
+        home = self.home_of(event.budget)
+        if home == self._vm:
+            pool, actions = self._pool(event.budget, now_ms)
+            pool.ask(self._vm, event, event.tokens, now_ms=now_ms)
+            return actions + self._settle(event.budget, now_ms)
+        if home in self._linked:
+            return [self._ask(home, event, now_ms)]
+        return self._take_own(event, now_ms)
+
+    @handle.register
+    def _(self, event: TokensUnused, now_ms: float) -> list:
+        grant = event.grant
+        if event.tokens <= 0:
+            return []
+        refund = Refund(
+            budget=grant.budget, pool=grant.pool, stamp=grant.stamp, tokens=event.tokens
+        )
+        if grant.source == self._vm:
+            return self._refund_here(refund, now_ms)
+        return [Send(vm=grant.source, message=refund)]
+
+    @handle.register
+    def _(self, event: PeerSaid, now_ms: float) -> list:
+        return self._hear(event.message, event.vm, now_ms)
+
+    @handle.register
+    def _(self, event: Ticked, now_ms: float) -> list:
+        self._reshape_shares(now_ms)
+        actions = self._give_up_lost(now_ms)
+        actions += self._retry_held(now_ms)
+        if now_ms >= self._next_renewal_ms:
+            self._next_renewal_ms = now_ms + RENEW_MS
+            actions += self._renew(now_ms)
+        for budget in list(self._pool_by_budget):
+            actions += self._settle(budget, now_ms)
+        return actions
+
+    # Messages of other entries
+
+    @singledispatchmethod
+    def _hear(self, message: object, vm: str, now_ms: float) -> list:
+        raise TypeError(f"no budget message: {type(message).__name__}")
+
+    @_hear.register
+    def _(self, message: PledgeRequest, vm: str, now_ms: float) -> list:
+        rows = []
+        for budget in message.budgets:
+            rows += self._pledge(budget, vm, now_ms)
+        return [Send(vm=vm, message=Pledge(sequence=message.sequence, rows=rows))]
+
+    @_hear.register
+    def _(self, message: Pledge, vm: str, now_ms: float) -> list:
+        sent_ms = self._renewal_sent_ms.get(message.sequence)
+        if sent_ms is None:
+            return []
+        actions = []
+        for budget, rate, capacity, tokens in message.rows:
+            pool = self._pool_by_budget.get(budget)
+            if pool is None:
+                continue
+            until_ms = sent_ms + PLEDGE_LEASE_MS
+            share = PooledShare(rate=rate, capacity=capacity, until_ms=until_ms)
+            pool.pledge(vm, share, tokens, now_ms=now_ms)
+            actions += self._settle(budget, now_ms)
+        return actions
+
+    @_hear.register
+    def _(self, message: Reserve, vm: str, now_ms: float) -> list:
+        is_home = self.home_of(message.budget) == self._vm
+        if not is_home or message.budget not in self._limit_by_budget:
+            answer = NotReserved(sequence=message.sequence, retry_after_ms=-1)
+            return [Send(vm=vm, message=answer)]
+        pool, actions = self._pool(message.budget, now_ms)
+        pool.ask(vm, message.sequence, message.tokens, now_ms=now_ms)
+        return actions + self._settle(message.budget, now_ms)
+
+    @_hear.register
+    def _(self, message: Reserved, vm: str, now_ms: float) -> list:
+        asked = self._asked_by_sequence.pop(message.sequence, None)
+        if asked is None or now_ms > asked.deadline_ms:
+            return self._deny_late(asked)
+        wanted = asked.wanted
+        return [_grant(wanted, source=vm, pool=message.pool, stamp=message.stamp)]
+
+    @_hear.register
+    def _(self, message: NotReserved, vm: str, now_ms: float) -> list:
+        asked = self._asked_by_sequence.pop(message.sequence, None)
+        if asked is None:
+            return []
+        if message.retry_after_ms < 0:
+            return self._take_own(asked.wanted, now_ms)
+        return [_deny(asked.wanted.ticket, Code.RATE_EXCEEDED, message.retry_after_ms)]
+
+    @_hear.register
+    def _(self, message: Refund, vm: str, now_ms: float) -> list:
+        return self._refund_here(message, now_ms)
+
+    # This entry as a member
+
+    def _reshape_shares(self, now_ms: float) -> None:
+        fraction = self._schedule.fraction(now_ms)
+        for budget, limit in self._limit_by_budget.items():
+            rate, capacity = limit.rate * fraction, limit.burst * fraction
+            share = self._share_by_budget[budget]
+            share.bucket.reshape(rate=rate, capacity=capacity, now_ms=now_ms)
+            pool = self._pool_by_budget.get(budget)
+            if pool is not None:
+                self._pool_own_share(pool, share, now_ms)
+
+    def _pool_own_share(self, pool: Pool, share: _Share, now_ms: float) -> None:
+        """Add this home's own share to its pool, once no earlier home can use it any more."""
+        if share.pledged_until_ms > now_ms:
+            return
+        own = PooledShare(
+            rate=share.bucket.rate, capacity=share.bucket.capacity, until_ms=FOREVER_MS
+        )
+        tokens = share.bucket.empty(now_ms=now_ms)
+        share.bucket.restart(FOREVER_MS)
+        pool.pledge(self._vm, own, tokens, now_ms=now_ms)
+
+    def _pledge(self, budget: str, home: str, now_ms: float) -> list:
+        """Pledge this entry's share to *home*, unless another has it or does so no more."""
+        share = self._share_by_budget.get(budget)
+        if share is None or budget in self._pool_by_budget or self.home_of(budget) != home:
+            return []
+        if share.pledged_until_ms > now_ms and share.pledged_to != home:
+            return []
+        tokens = 0.0 if share.pledged_until_ms > now_ms else share.bucket.empty(now_ms=now_ms)
+        share.pledged_to = home
+        share.pledged_until_ms = now_ms + PLEDGE_LEASE_MS + PLEDGE_MARGIN_MS
+        share.bucket.restart(share.pledged_until_ms)
+        return [[budget, share.bucket.rate, share.bucket.capacity, tokens]]
+
+    def _take_own(self, wanted: TokensWanted, now_ms: float) -> list:
+        """Take from this entry's own share, after the end of any pledge."""
+        share = self._share_by_budget.get(wanted.budget)
+        if share is None:
+            return [_deny(wanted.ticket, Code.PLAN_LAPSED, None)]
+        if share.pledged_until_ms > now_ms:
+            self._held.append((now_ms + PLEDGE_LEASE_MS + PLEDGE_MARGIN_MS, wanted))
+            return []
+        stamp = share.bucket.take(wanted.tokens, now_ms=now_ms)
+        if stamp is not None:
+            return [_grant(wanted, source=self._vm, pool=OWN_SHARE, stamp=stamp)]
+        wait_ms = share.bucket.wait_ms(wanted.tokens, now_ms=now_ms)
+        if wait_ms == float("inf"):
+            return [_deny(wanted.ticket, Code.BUDGET_UNREACHABLE, PLEDGE_LEASE_MS)]
+        return [_deny(wanted.ticket, Code.RATE_EXCEEDED, int(wait_ms))]
+
+    def _ask(self, home: str, wanted: TokensWanted, now_ms: float) -> Send:
+        self._sequence += 1
+        deadline_ms = now_ms + ANSWER_MS
+        asked = _Asked(wanted=wanted, vm=home, deadline_ms=deadline_ms)
+        self._asked_by_sequence[self._sequence] = asked
+        message = Reserve(sequence=self._sequence, budget=wanted.budget, tokens=wanted.tokens)
+        return Send(vm=home, message=message)
+
+    def _give_up_lost(self, now_ms: float) -> list:
+        """Turn to this entry's own share where a home has gone or does not answer in time."""
+        lost = [
+            sequence
+            for sequence, asked in self._asked_by_sequence.items()
+            if asked.vm not in self._linked or now_ms > asked.deadline_ms
+        ]
+        actions = []
+        for sequence in lost:
+            asked = self._asked_by_sequence.pop(sequence)
+            actions += self._take_own(asked.wanted, now_ms)
+        return actions
+
+    def _retry_held(self, now_ms: float) -> list:
+        """Serve what waits for the end of a pledge from the new home or from the own share."""
+        held, self._held = self._held, []
+        actions = []
+        for deadline_ms, wanted in held:
+            share = self._share_by_budget.get(wanted.budget)
+            if share is not None and share.pledged_until_ms > now_ms and now_ms < deadline_ms:
+                self._held.append((deadline_ms, wanted))
+                continue
+            actions += self.handle(wanted, now_ms)
+        return actions
+
+    def _deny_late(self, asked: _Asked | None) -> list:
+        if asked is None:
+            return []
+        return [_deny(asked.wanted.ticket, Code.BUDGET_UNREACHABLE, PLEDGE_LEASE_MS)]
+
+    # This entry as a home
+
+    def _pool(self, budget: str, now_ms: float) -> tuple[Pool, list]:
+        """Return the pool of *budget*, and the actions that gather it if it is new."""
+        pool = self._pool_by_budget.get(budget)
+        if pool is not None:
+            return pool, []
+        self._pool_count += 1
+        pool = self._pool_by_budget[budget] = Pool(number=self._pool_count, now_ms=now_ms)
+        self._pool_own_share(pool, self._share_by_budget[budget], now_ms)
+        return pool, self._request_pledges([budget], now_ms)
+
+    def _renew(self, now_ms: float) -> list:
+        self._drop_idle_pools(now_ms)
+        self._renewal_sent_ms = {
+            sequence: sent_ms
+            for sequence, sent_ms in self._renewal_sent_ms.items()
+            if now_ms - sent_ms < PLEDGE_LEASE_MS
+        }
+        return self._request_pledges(list(self._pool_by_budget), now_ms)
+
+    def _request_pledges(self, budgets: list[str], now_ms: float) -> list:
+        members = sorted((self._entries & self._linked) - {self._vm})
+        if not budgets or not members:
+            return []
+        self._sequence += 1
+        self._renewal_sent_ms[self._sequence] = now_ms
+        message = PledgeRequest(sequence=self._sequence, budgets=budgets)
+        return [Send(vm=vm, message=message) for vm in members]
+
+    def _drop_idle_pools(self, now_ms: float) -> None:
+        idle = [
+            budget
+            for budget, pool in self._pool_by_budget.items()
+            if now_ms - pool.used_ms > ACTIVE_MS
+        ]
+        for budget in idle:
+            self._close_pool(budget, now_ms)
+
+    def _leave_lost_homes(self, now_ms: float) -> list:
+        """Close the pools of budgets whose home is now another entry."""
+        lost = [b for b in self._pool_by_budget if self.home_of(b) != self._vm]
+        actions = []
+        for budget in lost:
+            actions += self._close_pool(budget, now_ms)
+        return actions
+
+    def _close_pool(self, budget: str, now_ms: float) -> list:
+        """Close a pool and keep what fits this entry's own share; the rest is dropped."""
+        pool = self._pool_by_budget.pop(budget)
+        share = self._share_by_budget[budget]
+        if share.pledged_until_ms <= now_ms:
+            share.bucket.restart(now_ms)
+            share.bucket.put(pool.level(now_ms), now_ms=now_ms)
+        return self._answer(pool, pool.close())
+
+    def _settle(self, budget: str, now_ms: float) -> list:
+        pool = self._pool_by_budget[budget]
+        return self._answer(pool, pool.settle(now_ms))
+
+    def _answer(self, pool: Pool, verdicts: list[Verdict]) -> list:
+        return [
+            (
+                self._answer_own(pool, verdict)
+                if verdict.reserve.vm == self._vm
+                else self._answer_peer(pool, verdict)
+            )
+            for verdict in verdicts
+        ]
+
+    def _answer_own(self, pool: Pool, verdict: Verdict) -> object:
+        wanted = verdict.reserve.ticket
+        if verdict.stamp is not None:
+            return _grant(wanted, source=self._vm, pool=pool.number, stamp=verdict.stamp)
+        return _deny(wanted.ticket, Code.RATE_EXCEEDED, _bounded(verdict.retry_after_ms))
+
+    def _answer_peer(self, pool: Pool, verdict: Verdict) -> Send:
+        reserve = verdict.reserve
+        if verdict.stamp is not None:
+            stamp = verdict.stamp
+            message = Reserved(sequence=reserve.ticket, pool=pool.number, stamp=stamp)
+        else:
+            retry_after_ms = _bounded(verdict.retry_after_ms)
+            message = NotReserved(sequence=reserve.ticket, retry_after_ms=retry_after_ms)
+        return Send(vm=reserve.vm, message=message)
+
+    def _refund_here(self, refund: Refund, now_ms: float) -> list:
+        """Put a refund back where it was reserved; tokens of a pool that is gone are dropped."""
+        if refund.pool == OWN_SHARE:
+            share = self._share_by_budget.get(refund.budget)
+            if share is not None:
+                share.bucket.refund(refund.tokens, stamp=refund.stamp, now_ms=now_ms)
+            return []
+        pool = self._pool_by_budget.get(refund.budget)
+        if pool is None or pool.number != refund.pool:
+            return []
+        pool.refund(refund.tokens, stamp=refund.stamp, now_ms=now_ms)
+        return self._settle(refund.budget, now_ms)
+
+
+def _grant(wanted: TokensWanted, *, source: str, pool: int, stamp: int) -> GrantTokens:
+    return GrantTokens(
+        ticket=wanted.ticket,
+        budget=wanted.budget,
+        tokens=wanted.tokens,
+        source=source,
+        pool=pool,
+        stamp=stamp,
+    )
+
+
+def _deny(ticket: object, code: Code, retry_after_ms: int | None) -> DenyTokens:
+    return DenyTokens(ticket=ticket, code=code, retry_after_ms=retry_after_ms)
+
+
+def _bounded(wait_ms: float) -> int:
+    """Return a wait as whole milliseconds of at most a minute."""
+    return int(min(wait_ms, 60_000))
--- /dev/null
+++ b/src/skylarkrack/core/_engine.py
@@ -0,0 +1,474 @@
+"""The decisions of the agent beside one engine: admission, batch, pins, loads and evictions.
+
+The agent is the only sender of orders to its engine and sees it without delay, so the rules that
+must not fail live here, and entries may be wrong about the endpoint without harm.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from skylarkrack._errors import Code, Outcome
+from skylarkrack.core._actions import (
+    AskPermit,
+    OrderLoad,
+    OrderUnload,
+    RefuseRun,
+    StartRun,
+    StopRun,
+    TellCleared,
+    TellSuspects,
+)
+from skylarkrack.core._catalogue import ServedName
+from skylarkrack.core._fair_queue import FairQueue, Waiting
+from skylarkrack.core._residency import MAX_LOAD_FAILURES, Order, ResidencyTable
+from skylarkrack.messages import Cancel, Run
+
+QUEUE_PER_RUN = 4
+"""Requests that may wait, for each that the engine can run at once."""
+
+SUSPECT_WAIT_MS = 300
+"""How long a suspect waits for the engine to be idle before other requests are held for it."""
+
+RUN_ESTIMATE_MS = 1000
+"""Assumed time of one run, for the time to come back that a full queue tells."""
+
+FAILURE_MEMORY_MS = 5_000
+"""How long a failed load keeps an adapter from being loaded again."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSeen:
+    """The engine's own report. *running* maps the ids of its runs to the names they use."""
+
+    incarnation: str
+    slots: int
+    batch: int
+    resident: frozenset[str]
+    running: dict[str, str]
+    fence: int
+    busy: bool
+    asked_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineLost:
+    """The engine does not answer, or its connections broke."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunOffered:
+    """An entry offers a request over *link*."""
+
+    run: Run
+    link: object
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunEnded:
+    """The engine confirmed the end of a run."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunLost:
+    """The connection of a run broke; the engine may still run it."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkGone:
+    """The link to an entry ended; nobody waits for its requests any more."""
+
+    link: object
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderEnded:
+    """The engine answered an order; *done* tells whether it was carried out."""
+
+    number: int
+    done: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderTimedOut:
+    """The engine did not answer an order in time; it may still carry it out."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitAnswered:
+    """The weight store's budget answered a request for one load."""
+
+    granted: bool
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainBegun:
+    """The process is stopping: no new work, what is admitted is finished."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentTicked:
+    """Time has passed."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Running:
+    run: Run
+    served: str
+    link: object
+    lost: bool = False
+
+
+class EngineCore:
+    """State and decisions of one engine's agent; `handle` takes events and returns actions."""
+
+    __slots__ = (
+        "_batch",
+        "_draining",
+        "_failures_by_name",
+        "_fence",
+        "_foreign_by_id",
+        "_next_permit_ms",
+        "_permit_asked",
+        "_queue",
+        "_running_by_id",
+        "_table",
+    )
+
+    def __init__(self) -> None:
+        self._table: ResidencyTable | None = None
+        self._batch = 0
+        self._fence = 0
+        self._draining = False
+        self._queue = FairQueue()
+        self._running_by_id: dict[str, _Running] = {}
+        self._foreign_by_id: dict[str, str] = {}
+        self._failures_by_name: dict[str, tuple[int, float]] = {}
+        self._permit_asked = False
+        self._next_permit_ms = 0.0
+
+    # Queries
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the engine is up and new work is taken."""
+        return self._table is not None and not self._draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits here."""
+        return not self._running_by_id and not len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Number of runs at the engine."""
+        return len(self._running_by_id)
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def capacity(self) -> int:
+        """Number of runs that the engine can batch."""
+        return self._batch
+
+    @property
+    def incarnation(self) -> str | None:
+        """Incarnation of the engine, or None while it is down."""
+        return self._table.incarnation if self._table else None
+
+    def resident_names(self) -> list[str]:
+        """Return the adapters that requests may run under, and those being loaded."""
+        return self._table.names() if self._table else []
+
+    def pins(self, served: str) -> int:
+        """Return the number of requests that use *served*."""
+        return self._table.pins(served) if self._table else 0
+
+    # Commands
+
+    @singledispatchmethod
+    def handle(self, event: object, now_ms: float) -> list:
+        """Take in *event* at *now_ms* and return the actions it leads to."""
+        raise TypeError(f"no engine event: {type(event).__name__}")
+
+    @handle.register
+    def _(self, event: EngineSeen, now_ms: float) -> list:
+        actions = []
+        if self._table is None or self._table.incarnation != event.incarnation:
+            actions += self._lose_engine()
+            self._table = ResidencyTable(incarnation=event.incarnation, slots=event.slots)
+        self._batch = event.batch
+        self._fence = max(self._fence, event.fence)
+        self._table.reconcile(
+            event.resident, busy=event.busy, asked_ms=event.asked_ms, now_ms=now_ms
+        )
+        self._observe_running(event.running, now_ms)
+        return actions + self._advance(now_ms)
+
+    @handle.register
+    def _(self, event: EngineLost, now_ms: float) -> list:
+        actions = self._lose_engine()
+        self._table = None
+        return actions
+
+    @handle.register
+    def _(self, event: RunOffered, now_ms: float) -> list:
+        refusal = self._refusal(event.run)
+        if refusal is not None:
+            return [refusal]
+        expires_ms = now_ms + event.run.patience_ms
+        self._queue.push(
+            Waiting(run=event.run, link=event.link, offered_ms=now_ms, expires_ms=expires_ms)
+        )
+        return self._advance(now_ms)
+
+    @handle.register
+    def _(self, event: Cancel, now_ms: float) -> list:
+        waiting = self._queue.find(event.request_id)
+        if waiting is not None:
+            self._queue.remove(waiting)
+            return [RefuseRun(request_id=event.request_id, code=Code.CANCELLED)]
+        if event.request_id in self._running_by_id:
+            return [StopRun(request_id=event.request_id)]
+        return []
+
+    @handle.register
+    def _(self, event: LinkGone, now_ms: float) -> list:
+        for waiting in [w for w in self._queue if w.link is event.link]:
+            self._queue.remove(waiting)
+        return [
+            StopRun(request_id=request_id)
+            for request_id, running in self._running_by_id.items()
+            if running.link is event.link
+        ]
+
+    @handle.register
+    def _(self, event: RunEnded, now_ms: float) -> list:
+        running = self._running_by_id.pop(event.request_id, None)
+        if running is None:
+            return []
+        if self._table is not None:
+            self._table.unpin(running.served)
+        actions = self._advance(now_ms)
+        if running.run.suspect:
+            actions.append(TellCleared(fingerprints=(running.run.fingerprint,)))
+        return actions
+
+    @handle.register
+    def _(self, event: RunLost, now_ms: float) -> list:
+        running = self._running_by_id.get(event.request_id)
+        if running is not None:
+            running.lost = True
+        return []
+
+    @handle.register
+    def _(self, event: OrderEnded, now_ms: float) -> list:
+        if self._table is None:
+            return []
+        order = self._table.finish(event.number, done=event.done, now_ms=now_ms)
+        if order is None:
+            return []
+        if order.is_load:
+            self._count_load(order.served, event.done, now_ms)
+        return self._advance(now_ms)
+
+    @handle.register
+    def _(self, event: OrderTimedOut, now_ms: float) -> list:
+        if self._table is not None:
+            self._table.lose(event.number, now_ms=now_ms)
+        return self._advance(now_ms)
+
+    @handle.register
+    def _(self, event: PermitAnswered, now_ms: float) -> list:
+        self._permit_asked = False
+        if not event.granted:
+            self._next_permit_ms = now_ms + event.retry_after_ms
+            return []
+        return self._order_load(now_ms)
+
+    @handle.register
+    def _(self, event: DrainBegun, now_ms: float) -> list:
+        self._draining = True
+        return []
+
+    @handle.register
+    def _(self, event: AgentTicked, now_ms: float) -> list:
+        return self._refuse_expired(now_ms) + self._advance(now_ms)
+
+    # Admission
+
+    def _refusal(self, run: Run) -> RefuseRun | None:
+        if self._draining:
+            return _refuse(run, Code.DRAINING)
+        if self._table is None:
+            return _refuse(run, Code.NO_ENDPOINT)
+        if len(self._queue) >= self._batch * QUEUE_PER_RUN:
+            wait_ms = RUN_ESTIMATE_MS * len(self._queue) // max(1, self._batch)
+            return _refuse(run, Code.QUEUE_FULL, retry_after_ms=wait_ms)
+        return None
+
+    def _refuse_expired(self, now_ms: float) -> list:
+        expired = [waiting for waiting in self._queue if waiting.expires_ms <= now_ms]
+        for waiting in expired:
+            self._queue.remove(waiting)
+        return [_refuse(w.run, Code.DEADLINE, retry_after_ms=RUN_ESTIMATE_MS) for w in expired]
+
+    # Progress
+
+    def _advance(self, now_ms: float) -> list:
+        """Start what may start, refuse what cannot be loaded, and order the next load."""
+        if self._table is None:
+            return []
+        actions = self._refuse_unloadable(now_ms)
+        while len(self._running_by_id) < self._batch:
+            waiting = self._queue.pop_first(lambda candidate: self._may_start(candidate, now_ms))
+            if waiting is None:
+                break
+            actions.append(self._start(waiting, now_ms))
+        return actions + self._next_order(now_ms)
+
+    def _may_start(self, waiting: Waiting, now_ms: float) -> bool:
+        if waiting.expires_ms <= now_ms or not self._table.is_resident(_served(waiting.run)):
+            return False
+        if waiting.run.suspect:
+            return not self._running_by_id
+        if any(running.run.suspect for running in self._running_by_id.values()):
+            return False
+        return not self._holds_for_suspect(now_ms)
+
+    def _holds_for_suspect(self, now_ms: float) -> bool:
+        """Tell whether a suspect has waited long enough for the batch to be emptied for it."""
+        return any(
+            waiting.run.suspect
+            and now_ms >= waiting.offered_ms + SUSPECT_WAIT_MS
+            and self._table.is_resident(_served(waiting.run))
+            for waiting in self._queue
+        )
+
+    def _start(self, waiting: Waiting, now_ms: float) -> StartRun:
+        served = _served(waiting.run)
+        self._table.pin(served, now_ms=now_ms)
+        running = _Running(run=waiting.run, served=served, link=waiting.link)
+        self._running_by_id[waiting.run.request_id] = running
+        return StartRun(run=waiting.run, served=served, incarnation=self._table.incarnation)
+
+    def _next_order(self, now_ms: float) -> list:
+        """Order an eviction or ask for a load, for the first request in turn that needs one."""
+        if self._table.order is not None or self._permit_asked:
+            return []
+        if self._next_load(now_ms) is None:
+            return []
+        if not self._table.has_room():
+            return self._order_unload()
+        if now_ms < self._next_permit_ms:
+            return []
+        self._permit_asked = True
+        return [AskPermit()]
+
+    def _next_load(self, now_ms: float) -> str | None:
+        names = (_served(waiting.run) for waiting in self._queue)
+        return next((name for name in names if self._needs_load(name, now_ms)), None)
+
+    def _needs_load(self, served: str, now_ms: float) -> bool:
+        return not self._table.is_known(served) and not self._has_failed(served, now_ms)
+
+    def _order_unload(self) -> list:
+        wanted = frozenset(_served(waiting.run) for waiting in self._queue)
+        victim = self._table.victim(wanted)
+        if victim is None:
+            return []
+        order = self._begin(victim, is_load=False)
+        return [OrderUnload(served=victim, order=order.number)]
+
+    def _order_load(self, now_ms: float) -> list:
+        """Order the load that a permit was given for; the engine may have changed meanwhile."""
+        if self._table is None or self._table.order is not None or not self._table.has_room():
+            return []
+        served = self._next_load(now_ms)
+        if served is None:
+            return []
+        order = self._begin(served, is_load=True)
+        return [OrderLoad(served=served, order=order.number)]
+
+    def _begin(self, served: str, *, is_load: bool) -> Order:
+        self._fence += 1
+        order = Order(served=served, number=self._fence, is_load=is_load)
+        self._table.begin(order)
+        return order
+
+    # Failed loads
+
+    def _count_load(self, served: str, done: bool, now_ms: float) -> None:
+        if done:
+            self._failures_by_name.pop(served, None)
+            return
+        count, _ = self._failures_by_name.get(served, (0, 0.0))
+        self._failures_by_name[served] = (count + 1, now_ms)
+
+    def _has_failed(self, served: str, now_ms: float) -> bool:
+        count, failed_ms = self._failures_by_name.get(served, (0, 0.0))
+        if count and now_ms - failed_ms > FAILURE_MEMORY_MS:
+            del self._failures_by_name[served]
+            return False
+        return count >= MAX_LOAD_FAILURES
+
+    def _refuse_unloadable(self, now_ms: float) -> list:
+        hopeless = [w for w in self._queue if self._has_failed(_served(w.run), now_ms)]
+        for waiting in hopeless:
+            self._queue.remove(waiting)
+        return [
+            _refuse(waiting.run, Code.LOAD_FAILED, retry_after_ms=FAILURE_MEMORY_MS)
+            for waiting in hopeless
+        ]
+
+    # The engine's incarnations
+
+    def _lose_engine(self) -> list:
+        """End all runs of an incarnation that is gone, and name those a crash may be due to."""
+        if self._table is None:
+            return []
+        crash_id = self._table.incarnation
+        running = list(self._running_by_id.values())
+        self._running_by_id.clear()
+        self._foreign_by_id.clear()
+        self._permit_asked = False
+        actions: list = [
+            RefuseRun(request_id=r.run.request_id, code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
+            for r in running
+        ]
+        if running:
+            fingerprints = tuple(r.run.fingerprint for r in running)
+            actions.insert(0, TellSuspects(crash_id=crash_id, fingerprints=fingerprints))
+        return actions
+
+    def _observe_running(self, running: dict[str, str], now_ms: float) -> None:
+        """Pin what runs that are not ours use; end lost runs that the engine runs no more."""
+        for request_id in [i for i, r in self._running_by_id.items() if r.lost]:
+            if request_id not in running:
+                self._table.unpin(self._running_by_id.pop(request_id).served)
+        foreign = {i: name for i, name in running.items() if i not in self._running_by_id}
+        before, after = Counter(self._foreign_by_id.values()), Counter(foreign.values())
+        for name in (after - before).elements():
+            if self._table.is_resident(name):
+                self._table.pin(name, now_ms=now_ms)
+        for name in (before - after).elements():
+            self._table.unpin(name)
+        self._foreign_by_id = foreign
+
+
+def _served(run: Run) -> str:
+    return str(ServedName(adapter=run.adapter, version=run.version))
+
+
+def _refuse(run: Run, code: Code, *, retry_after_ms: int | None = None) -> RefuseRun:
+    return RefuseRun(request_id=run.request_id, code=code, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/src/skylarkrack/core/_residency.py
@@ -0,0 +1,167 @@
+"""Which adapters one engine holds, which are in use, and the single order in flight."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+MAX_LOAD_FAILURES = 2
+"""Failed loads of an adapter after which its waiting requests are refused."""
+
+ORDER_LINGER_MS = 10_000
+"""How long an order without an answer may still reach an engine and be carried out there."""
+
+
+class State(Enum):
+    """State of an adapter at the engine, as its agent knows it."""
+
+    LOADING = "loading"
+    RESIDENT = "resident"
+    UNLOADING = "unloading"
+    UNCERTAIN = "uncertain"
+
+
+@dataclass(slots=True)
+class Residency:
+    """An adapter at the engine. *pins* counts the requests that use it."""
+
+    state: State
+    pins: int = 0
+    used_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """The order in flight, *number* being its fencing number."""
+
+    served: str
+    number: int
+    is_load: bool
+
+
+class ResidencyTable:
+    """What one incarnation of an engine holds. A new incarnation starts a new table.
+
+    An adapter whose order had no certain end is `UNCERTAIN`: it takes a slot, serves nothing, and
+    is not touched until the order can no longer arrive and the engine's own report settles it.
+    Otherwise a late unload could evict an adapter that is in use again.
+    """
+
+    __slots__ = ("_by_name", "_changed_ms", "incarnation", "order", "slots")
+
+    def __init__(self, *, incarnation: str, slots: int) -> None:
+        self.incarnation = incarnation
+        self.slots = slots
+        self.order: Order | None = None
+        self._changed_ms = 0.0
+        self._by_name: dict[str, Residency] = {}
+
+    # Queries
+
+    def is_resident(self, served: str) -> bool:
+        """Tell whether requests may run under *served* now."""
+        residency = self._by_name.get(served)
+        return residency is not None and residency.state is State.RESIDENT
+
+    def is_known(self, served: str) -> bool:
+        """Tell whether *served* takes a slot in any state."""
+        return served in self._by_name
+
+    def names(self) -> list[str]:
+        """Return the names that requests may run under, and those being loaded."""
+        useful = (State.RESIDENT, State.LOADING)
+        return [name for name, residency in self._by_name.items() if residency.state in useful]
+
+    def has_room(self) -> bool:
+        """Tell whether a further adapter fits without an eviction."""
+        return len(self._by_name) < self.slots
+
+    def pins(self, served: str) -> int:
+        """Return the number of requests that use *served*."""
+        residency = self._by_name.get(served)
+        return residency.pins if residency else 0
+
+    def victim(self, wanted: frozenset[str]) -> str | None:
+        """Return the least recently used adapter that no request uses or waits for, or None."""
+        idle = [
+            (residency.used_ms, name)
+            for name, residency in self._by_name.items()
+            if residency.state is State.RESIDENT and not residency.pins and name not in wanted
+        ]
+        return min(idle)[1] if idle else None
+
+    # Commands
+
+    def pin(self, served: str, *, now_ms: float) -> None:
+        """Count one more use of a resident adapter."""
+        residency = self._by_name[served]
+        residency.pins += 1
+        residency.used_ms = now_ms
+
+    def unpin(self, served: str) -> None:
+        """Count one use less."""
+        residency = self._by_name.get(served)
+        if residency is not None and residency.pins:
+            residency.pins -= 1
+
+    def begin(self, order: Order) -> None:
+        """Note that *order* goes to the engine."""
+        self.order = order
+        if order.is_load:
+            self._by_name[order.served] = Residency(State.LOADING)
+        else:
+            self._by_name[order.served].state = State.UNLOADING
+
+    def finish(self, number: int, *, done: bool, now_ms: float) -> Order | None:
+        """Note the engine's answer to the order *number*; return the order if it was in flight."""
+        order = self._take_order(number)
+        if order is None:
+            return None
+        self._changed_ms = now_ms
+        residency = self._by_name[order.served]
+        residency.used_ms = now_ms
+        if done == order.is_load:
+            residency.state = State.RESIDENT
+        else:
+            del self._by_name[order.served]
+        return order
+
+    def lose(self, number: int, *, now_ms: float) -> Order | None:
+        """Note that the order *number* had no answer in time: it may still be carried out."""
+        order = self._take_order(number)
+        if order is not None:
+            self._changed_ms = now_ms
+            self._by_name[order.served].state = State.UNCERTAIN
+            self._by_name[order.served].used_ms = now_ms
+        return order
+
+    def reconcile(
+        self, reported: frozenset[str], *, busy: bool, asked_ms: float, now_ms: float
+    ) -> None:
+        """Take in the engine's own report of what it holds, asked for at *asked_ms*.
+
+        A report that may be older than the last order says nothing. While the engine still
+        carries out an order (*busy*) what is uncertain stays so.
+        """
+        if self.order is not None or asked_ms <= self._changed_ms:
+            return
+        for name in reported - self._by_name.keys():
+            self._by_name[name] = Residency(State.RESIDENT, used_ms=now_ms)
+        for name, residency in list(self._by_name.items()):
+            if residency.state is State.UNCERTAIN:
+                lingers = busy or now_ms < residency.used_ms + ORDER_LINGER_MS
+                if not lingers:
+                    self._settle(name, name in reported)
+            elif name not in reported and not residency.pins:
+                del self._by_name[name]
+
+    def _settle(self, name: str, is_reported: bool) -> None:
+        if is_reported:
+            self._by_name[name].state = State.RESIDENT
+        else:
+            del self._by_name[name]
+
+    def _take_order(self, number: int) -> Order | None:
+        order = self.order
+        if order is None or order.number != number:
+            return None
+        self.order = None
+        return order
--- /dev/null
+++ b/src/skylarkrack/core/_suspicion.py
@@ -0,0 +1,87 @@
+"""Requests that may crash the endpoint that runs them.
+
+A crash makes suspects of all that ran at that moment. A suspect runs once more with no other
+request in the batch: if that ends well it is cleared, and if the endpoint crashes again it is
+quarantined everywhere. So one prompt that is sent again after an answer takes down two endpoints
+at the most, and its neighbours in the first batch are delayed and not refused.
+"""
+
+import hashlib
+import json
+import unicodedata
+from dataclasses import dataclass
+
+QUARANTINE_MS = 600_000
+"""How long a prompt that crashed two endpoints is refused."""
+
+SUSPICION_MS = 120_000
+"""How long a prompt stays suspected without a verdict."""
+
+MAX_SUSPECTS = 10_000
+
+
+@dataclass(slots=True)
+class _Suspect:
+    crash_ids: set[str]
+    until_ms: float
+
+
+class Suspicion:
+    """Suspected prompts by fingerprint, as told by the agents that saw the crashes."""
+
+    __slots__ = ("_suspect_by_fingerprint",)
+
+    def __init__(self) -> None:
+        self._suspect_by_fingerprint: dict[bytes, _Suspect] = {}
+
+    # Queries
+
+    def is_suspect(self, fingerprint: bytes, now_ms: float) -> bool:
+        """Tell whether the prompt has to run alone."""
+        return len(self._crashes(fingerprint, now_ms)) == 1
+
+    def is_quarantined(self, fingerprint: bytes, now_ms: float) -> bool:
+        """Tell whether the prompt is refused."""
+        return len(self._crashes(fingerprint, now_ms)) > 1
+
+    def _crashes(self, fingerprint: bytes, now_ms: float) -> set[str]:
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if suspect is None or suspect.until_ms <= now_ms:
+            return set()
+        return suspect.crash_ids
+
+    # Commands
+
+    def observe_crash(self, crash_id: str, fingerprint: bytes, *, now_ms: float) -> None:
+        """Take in that an endpoint crashed while the prompt ran; the same crash counts once."""
+        crash_ids = self._crashes(fingerprint, now_ms) | {crash_id}
+        life_ms = QUARANTINE_MS if len(crash_ids) > 1 else SUSPICION_MS
+        self._suspect_by_fingerprint.pop(fingerprint, None)
+        self._suspect_by_fingerprint[fingerprint] = _Suspect(crash_ids, now_ms + life_ms)
+        if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
+            del self._suspect_by_fingerprint[next(iter(self._suspect_by_fingerprint))]
+
+    def observe_cleared(self, fingerprint: bytes, *, now_ms: float) -> None:
+        """Take in that a suspected prompt ran alone to its end."""
+        if self.is_suspect(fingerprint, now_ms):
+            del self._suspect_by_fingerprint[fingerprint]
+
+
+def fingerprint_of(adapter: str, prompt: object) -> bytes:
+    """Return a digest of the prompt that does not depend on how its JSON was written.
+
+    *prompt* is the decoded `messages` or `prompt` field. Text is brought to one Unicode form and
+    its white space is folded.
+    """
+    folded = json.dumps([adapter, _folded(prompt)], sort_keys=True, ensure_ascii=True)
+    return hashlib.blake2b(folded.encode("ascii"), digest_size=16).digest()
+
+
+def _folded(value: object) -> object:
+    if isinstance(value, str):
+        return " ".join(unicodedata.normalize("NFKC", value).split())
+    if isinstance(value, list):
+        return [_folded(item) for item in value]
+    if isinstance(value, dict):
+        return {str(key): _folded(item) for key, item in value.items()}
+    return value
--- /dev/null
+++ b/src/skylarkrack/ctl.py
@@ -0,0 +1,134 @@
+"""The command-line tool `skylarkctl` for operators."""
+
+import asyncio
+import hashlib
+import json
+import secrets
+import sys
+from pathlib import Path
+
+import fire
+
+from skylarkrack._errors import FileRejected, LinkLost
+from skylarkrack._lists import (
+    REQUIRED_VALUES,
+    build_catalogue,
+    cross_problems,
+    kind_of,
+    parse_value,
+)
+from skylarkrack._settings import read_settings
+from skylarkrack.web import HttpClient
+
+ANSWER_TIMEOUT_MS = 3000
+KEY_BYTES = 32
+EXIT_PROBLEMS = 1
+
+# The platform publishes this value itself; operators have no file of it.
+_PLATFORM_VALUES = frozenset({"vms"})
+
+
+class Ctl:
+    """Operate skylarkrack. Addresses are those of `status` in a process's settings."""
+
+    def check_settings(self, *files: str) -> str:
+        """Check settings files of daemons; prints every problem of every file."""
+        problems = []
+        for file in files:
+            try:
+                read_settings(file)
+            except FileRejected as error:
+                problems += error.problems
+            except OSError as error:
+                problems.append(str(error))
+        return _verdict(problems, f"{len(files)} settings files are good")
+
+    def check_lists(self, folder: str) -> str:
+        """Check the lists in FOLDER (organisations.toml, plans.toml, ...) before publishing."""
+        values, problems = {}, []
+        for path in sorted(Path(folder).rglob("*.toml")):
+            name = path.relative_to(folder).with_suffix("").as_posix()
+            if kind_of(name) is None:
+                problems.append(f"{path}: no such list; the lists are {', '.join(REQUIRED_VALUES)}")
+                continue
+            try:
+                values[name] = parse_value(name, path.read_bytes(), file=str(path))
+            except FileRejected as error:
+                problems += error.problems
+        missing = set(REQUIRED_VALUES) - _PLATFORM_VALUES - {kind_of(name) for name in values}
+        if not problems:
+            problems += [f"{folder}: the list {name} is missing" for name in sorted(missing)]
+            problems += cross_problems(build_catalogue(values, revision=0), file=folder)
+        return _verdict(problems, f"{len(values)} lists are good")
+
+    def make_key(self, organisation: str) -> str:
+        """Make a key for ORGANISATION; give it to the caller, and publish only the digest."""
+        key = "sk-" + secrets.token_urlsafe(KEY_BYTES)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        row = f'[keys.{digest}]\norganisation = "{organisation}"'
+        return f"key for the caller, shown only now:\n{key}\n\nto add to the list of keys:\n{row}"
+
+    def state(self, address: str) -> str:
+        """Show what a process believes: members, residency, shares, revisions and their age."""
+        return json.dumps(_get(address, "/state"), indent=2)
+
+    def explain(self, address: str, request_id: str) -> str:
+        """Show what happened to one request, by its X-Request-Id, at the entry that took it."""
+        document = _get(address, f"/explain/{request_id}")
+        return "\n".join(_step_line(step) for step in document["steps"])
+
+    def burn(self, address: str) -> str:
+        """Show how fast the error budget of each service-level objective is spent."""
+        rows = _get(address, "/burn")["rows"]
+        head = (
+            f"{'objective':<14}{'target':>8}{'window s':>10}{'requests':>10}{'bad':>7}{'burn':>8}"
+        )
+        return "\n".join([head, *(_burn_line(row) for row in rows)])
+
+
+def main() -> None:
+    """Run the tool."""
+    fire.Fire(Ctl, name="skylarkctl")
+
+
+def _verdict(problems: list, good: str) -> str:
+    if not problems:
+        return good
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    sys.exit(EXIT_PROBLEMS)
+
+
+def _get(address: str, path: str) -> dict:
+    try:
+        status, body = asyncio.run(_fetch(address, path))
+    except LinkLost as error:
+        sys.exit(f"{address}: {error}")
+    if status != 200:
+        sys.exit(f"{address}: {json.loads(body)['message']}")
+    return json.loads(body)
+
+
+async def _fetch(address: str, path: str) -> tuple[int, bytes]:
+    client = HttpClient(address)
+    response = await client.request("GET", path, timeout_ms=ANSWER_TIMEOUT_MS)
+    body = await response.whole(timeout_ms=ANSWER_TIMEOUT_MS)
+    client.close()
+    return response.status, body
+
+
+def _step_line(step: dict) -> str:
+    fields = {key: value for key, value in step.items() if key not in ("at_ms", "step")}
+    told = " ".join(f"{key}={value}" for key, value in fields.items())
+    return f"{step['at_ms']:>9.1f} ms  {step['step']:<10} {told}"
+
+
+def _burn_line(row: dict) -> str:
+    return (
+        f"{row['objective']:<14}{row['target']:>8}{row['window_s']:>10}"
+        f"{row['requests']:>10}{row['bad']:>7}{row['burn_rate']:>8}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/skylarkrack/entry/_context.py
@@ -0,0 +1,48 @@
+"""What the request handlers of one entry share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from skylarkrack._burn import FIRST_TOKEN_OBJECTIVE_MS, BurnMeter
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._keeper import ConfigKeeper
+from skylarkrack._links import Links
+from skylarkrack._metrics import Metrics
+from skylarkrack._traces import Traces
+from skylarkrack.core import RetryBudget, Router, Suspicion
+from skylarkrack.entry._budgets import Budgets
+from skylarkrack.entry._exchanges import Exchanges
+from skylarkrack.entry._tickets import Tickets
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Context:
+    """The parts of an entry, wired by `Entry`."""
+
+    keeper: ConfigKeeper
+    links: Links
+    router: Router
+    budgets: Budgets
+    exchanges: Exchanges
+    tickets: Tickets
+    suspicion: Suspicion
+    retries: RetryBudget
+    metrics: Metrics
+    burn: BurnMeter
+    traces: Traces
+    next_request_id: Callable[[], str]
+
+    def may_act(self) -> bool:
+        """Tell whether this entry may act on its configuration now."""
+        return self.keeper.may_act(monotonic_ms())
+
+    def calendar_s(self) -> float:
+        """Return the calendar time that plan dates are compared with."""
+        return self.keeper.calendar_s(monotonic_ms())
+
+    def note_first_token(self, started_ms: float, first_ms: float) -> None:
+        """Record the time to the first token of an answer."""
+        elapsed_ms = first_ms - started_ms
+        self.metrics.observe_ms("first_token_ms", elapsed_ms)
+        is_good = elapsed_ms <= FIRST_TOKEN_OBJECTIVE_MS
+        self.burn.observe("first_token", is_good=is_good, now_ms=monotonic_ms())
--- /dev/null
+++ b/src/skylarkrack/entry/_entry.py
@@ -0,0 +1,249 @@
+"""The entry process: its parts, its links, and its messages."""
+
+import asyncio
+import itertools
+from functools import singledispatchmethod
+from random import Random
+
+from skylarkrack import messages
+from skylarkrack._burn import BurnMeter
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._events import Event, log
+from skylarkrack._keeper import ConfigKeeper
+from skylarkrack._links import Links
+from skylarkrack._metrics import Metrics
+from skylarkrack._settings import Settings
+from skylarkrack._status import StatusServer, StatusSources
+from skylarkrack._traces import Traces
+from skylarkrack.core import RetryBudget, Router, Suspicion
+from skylarkrack.entry._answers import refuse
+from skylarkrack.entry._budgets import Budgets
+from skylarkrack.entry._context import Context
+from skylarkrack.entry._exchanges import Exchanges
+from skylarkrack.entry._front import Front
+from skylarkrack.entry._tickets import Tickets
+from skylarkrack.messages import PROTOCOL_VERSION, Hello, Ping, Pong
+from skylarkrack.ports import PlatformPort
+from skylarkrack.web import HttpServer
+from skylarkrack.wire import Link, accept_links
+
+TICK_MS = 50
+"""Interval at which budgets are advanced and open exchanges are checked for access."""
+
+DRAIN_NOTICE_MS = 1500
+"""How long a stopping entry goes on accepting after it has told the balancer not to send."""
+
+
+class Entry:
+    """One entry process."""
+
+    __slots__ = (
+        "_callers",
+        "_context",
+        "_front",
+        "_held_lease",
+        "_incarnation",
+        "_server",
+        "_settings",
+        "_status",
+        "_ticking",
+    )
+
+    def __init__(
+        self, settings: Settings, *, platform: PlatformPort, incarnation: str, random: Random
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._held_lease = False
+        self._server: asyncio.Server | None = None
+        self._ticking: asyncio.Task | None = None
+        links = Links(self)
+        counter = itertools.count(1)
+        self._context = Context(
+            keeper=ConfigKeeper(
+                vm=settings.vm, platform=platform, random=random, on_change=self._update
+            ),
+            links=links,
+            router=Router(),
+            budgets=Budgets(vm=settings.vm, links=links),
+            exchanges=Exchanges(),
+            tickets=Tickets(),
+            suspicion=Suspicion(),
+            retries=RetryBudget(),
+            metrics=Metrics(),
+            burn=BurnMeter(),
+            traces=Traces(),
+            next_request_id=lambda: f"{settings.vm}-{incarnation}-{next(counter)}",
+        )
+        self._front = Front(self._context)
+        limits = settings.limits
+        self._callers = HttpServer(self._front.handle, refuse=refuse, limits=limits, name="callers")
+        sources = StatusSources(
+            describe=self._describe,
+            metrics=self._context.metrics,
+            burn=self._context.burn,
+            traces=self._context.traces,
+        )
+        self._status = StatusServer(sources, limits=limits)
+
+    async def start(self) -> None:
+        """Open the sockets and begin to watch the platform."""
+        self._server = await accept_links(self, self._settings.listen)
+        await self._status.start(self._settings.status)
+        await self._callers.start(self._settings.callers)
+        await self._context.keeper.start()
+        self._ticking = asyncio.create_task(self._tick())
+
+    async def drain(self) -> None:
+        """Finish what is under way: first the balancer is told, then the listener closes."""
+        log(Event.DRAIN_STARTED, open=len(self._context.exchanges))
+        self._front.is_draining = True
+        await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
+        await self._callers.drain()
+
+    async def close(self) -> None:
+        """Close everything."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        await self._callers.close()
+        await self._status.close()
+        await self._context.keeper.close()
+        self._context.links.close()
+        if self._server is not None:
+            self._server.close()
+
+    # The process behind its links
+
+    def hello(self) -> Hello:
+        """Introduce this process."""
+        return Hello(
+            protocol=PROTOCOL_VERSION,
+            role="entry",
+            vm=self._settings.vm,
+            domain=self._settings.domain,
+            incarnation=self._incarnation,
+        )
+
+    def pong(self, ping: Ping) -> Pong:
+        """Answer a heartbeat."""
+        return self._context.keeper.pong(ping, leaving=self._front.is_draining)
+
+    def pong_heard(self, link: Link, pong: Pong, asked_ms: float) -> None:
+        """Take in what a peer knows."""
+        self._context.keeper.pong_heard(link, pong, asked_ms)
+
+    def link_up(self, link: Link) -> None:
+        """Register a link."""
+        log(Event.LINK_UP, vm=link.vm)
+        self._context.links.add(link)
+        self._context.budgets.update_links()
+
+    def link_down(self, link: Link) -> None:
+        """Fail what went over a link that has ended."""
+        log(Event.LINK_DOWN, vm=link.vm)
+        context = self._context
+        context.links.remove(link)
+        context.exchanges.link_lost(link)
+        if context.links.of(link.vm) is None:
+            context.router.forget(link.vm)
+            context.keeper.link_down(link.vm)
+        context.budgets.update_links()
+
+    @singledispatchmethod
+    def _hear(self, message: object, link: Link) -> None:
+        """Messages that no other method takes answer one of this entry's requests."""
+        self._context.exchanges.heard(link, message)
+
+    def heard(self, link: Link, message: object) -> None:
+        """Take a message."""
+        self._hear(message, link)
+
+    @_hear.register
+    def _(self, message: messages.EndpointReport, link: Link) -> None:
+        self._context.router.observe_report(link.vm, message)
+
+    @_hear.register
+    def _(self, message: messages.Suspects, link: Link) -> None:
+        now_ms = monotonic_ms()
+        for fingerprint in message.fingerprints:
+            self._context.suspicion.observe_crash(message.crash_id, fingerprint, now_ms=now_ms)
+        log(Event.CRASH_SUSPECTS, vm=link.vm, suspects=len(message.fingerprints))
+
+    @_hear.register
+    def _(self, message: messages.Cleared, link: Link) -> None:
+        for fingerprint in message.fingerprints:
+            self._context.suspicion.observe_cleared(fingerprint, now_ms=monotonic_ms())
+
+    @_hear.register(messages.PledgeRequest)
+    @_hear.register(messages.Pledge)
+    @_hear.register(messages.Reserve)
+    @_hear.register(messages.Reserved)
+    @_hear.register(messages.NotReserved)
+    @_hear.register(messages.Refund)
+    def _(self, message: object, link: Link) -> None:
+        self._context.budgets.heard(link.vm, message)
+
+    @_hear.register
+    def _(self, message: messages.Ticket, link: Link) -> None:
+        self._context.tickets.heard(message)
+
+    @_hear.register
+    def _(self, message: messages.LoadPermitRequest, link: Link) -> None:
+        self._context.budgets.permit_load(link, message)
+
+    @_hear.register
+    def _(self, message: messages.ValuesRequest, link: Link) -> None:
+        self._context.keeper.give_values(link, message)
+
+    @_hear.register
+    def _(self, message: messages.Value, link: Link) -> None:
+        self._context.keeper.take_value(message)
+
+    @_hear.register
+    def _(self, message: messages.ValuesEnd, link: Link) -> None:
+        self._context.keeper.take_end(message)
+
+    # Configuration and time
+
+    def _update(self) -> None:
+        """Put a newer configuration into force."""
+        context = self._context
+        vms = context.keeper.catalogue.vm_by_name.values()
+        context.router.observe_leaving({vm.name for vm in vms if vm.leaving})
+        others = {vm.name: vm.address for vm in vms if vm.name != self._settings.vm}
+        context.links.want(others)
+        context.budgets.update(context.keeper.catalogue)
+        self._cut_withdrawn()
+
+    async def _tick(self) -> None:
+        while True:
+            self._context.budgets.tick()
+            self._note_lease()
+            self._cut_withdrawn()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _cut_withdrawn(self) -> None:
+        count = self._context.exchanges.cut_withdrawn()
+        if count:
+            log(Event.STREAM_CUT, count=count)
+
+    def _note_lease(self) -> None:
+        is_held = self._context.may_act()
+        if is_held == self._held_lease:
+            return
+        self._held_lease = is_held
+        log(Event.ACCESS_LEASE_HELD if is_held else Event.ACCESS_LEASE_LOST)
+
+    def _describe(self) -> dict[str, object]:
+        context = self._context
+        return {
+            "vm": self._settings.vm,
+            "role": "entry",
+            "incarnation": self._incarnation,
+            "ready": self._front.is_ready(),
+            "open_requests": len(context.exchanges),
+            "configuration": context.keeper.describe(monotonic_ms()),
+            "links": context.links.describe(),
+            "endpoints": context.router.describe(),
+            "shares": context.budgets.describe(),
+        }
--- /dev/null
+++ b/src/skylarkrack/entry/_exchange.py
@@ -0,0 +1,118 @@
+"""One offer of a request to an agent, from sending it to the whole answer."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack.messages import Chunk, Confirm, Confirmed, End, Failed, Head
+from skylarkrack.web import Responder
+from skylarkrack.wire import Link
+
+# Headers of an answer that belong to one connection, or that the server writes itself.
+_HOP_HEADERS = frozenset(
+    (b"connection", b"content-length", b"transfer-encoding", b"keep-alive", b"date", b"server")
+)
+
+
+class Exchange:
+    """Relays one answer. Bytes that do not follow on what came before end it as truncated."""
+
+    __slots__ = (
+        "_link",
+        "_received",
+        "_responder",
+        "_result",
+        "first_ms",
+        "is_wanted",
+        "request_id",
+    )
+
+    def __init__(self, *, request_id: str, link: Link, responder: Responder) -> None:
+        self.request_id = request_id
+        self.first_ms: float | None = None
+        self.is_wanted = True
+        self._link = link
+        self._responder = responder
+        self._received = 0
+        self._result: asyncio.Future[End] = asyncio.get_running_loop().create_future()
+
+    async def result(self) -> End:
+        """Wait for the end of the answer, or raise `RequestRefused`."""
+        return await self._result
+
+    def fail(self, refusal: RequestRefused) -> None:
+        """End the exchange with an error."""
+        if not self._result.done():
+            self._result.set_exception(refusal)
+
+    def link_lost(self, link: Link) -> None:
+        """The link that the request went out on has ended: nobody knows how far it came."""
+        if link is self._link:
+            self.fail(
+                RequestRefused(
+                    "the endpoint was lost", code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN
+                )
+            )
+
+    def heard(self, link: Link, message: object) -> None:
+        """Take a message of the agent; what another link brings is of an older offer."""
+        if link is self._link and not self._result.done():
+            self._take(message)
+
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        raise TypeError(f"no answer message: {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: Head) -> None:
+        if self._responder.has_started:
+            self._truncated("a second head")
+            return
+        kept = [(bytes(name), bytes(value)) for name, value in message.headers]
+        headers = [(name, value) for name, value in kept if name not in _HOP_HEADERS]
+        headers.append((b"x-request-id", self.request_id.encode()))
+        self._responder.start(message.status, headers)
+
+    @_take.register
+    def _(self, message: Chunk) -> None:
+        if message.offset != self._received or not self._responder.has_started:
+            self._truncated(f"bytes at {message.offset} after {self._received}")
+            return
+        if self.first_ms is None:
+            self.first_ms = monotonic_ms()
+        self._received += len(message.data)
+        self._responder.send(message.data)
+
+    @_take.register
+    def _(self, message: End) -> None:
+        if message.size != self._received or not self._responder.has_started:
+            self._truncated(f"{self._received} bytes of {message.size}")
+            return
+        self._result.set_result(message)
+
+    @_take.register
+    def _(self, message: Failed) -> None:
+        retry_after_ms = message.retry_after_ms if message.retry_after_ms >= 0 else None
+        code = Code(message.code)
+        self.fail(
+            RequestRefused(
+                message.detail or code.name.lower().replace("_", " "),
+                code=code,
+                outcome=Outcome(message.outcome),
+                retry_after_ms=retry_after_ms,
+                ticket=message.ticket or None,
+            )
+        )
+
+    @_take.register
+    def _(self, message: Confirm) -> None:
+        if self.is_wanted:
+            self._link.send(Confirmed(request_id=message.request_id))
+
+    def _truncated(self, detail: str) -> None:
+        self.fail(
+            RequestRefused(
+                f"the answer is not whole: {detail}", code=Code.TRUNCATED, outcome=Outcome.RAN
+            )
+        )
--- /dev/null
+++ b/src/skylarkrack/entry/_exchanges.py
@@ -0,0 +1,64 @@
+"""The open exchanges of an entry, and the access that each stands on."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack.entry._exchange import Exchange
+from skylarkrack.messages import Cancel, Confirm
+from skylarkrack.wire import Link
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OpenExchange:
+    """An exchange with its link and the test whether its caller still has access."""
+
+    exchange: Exchange
+    link: Link
+    is_granted: Callable[[], bool]
+
+
+class Exchanges:
+    """Open exchanges by request id."""
+
+    __slots__ = ("_open_by_id",)
+
+    def __init__(self) -> None:
+        self._open_by_id: dict[str, OpenExchange] = {}
+
+    def __len__(self) -> int:
+        return len(self._open_by_id)
+
+    def add(self, opened: OpenExchange) -> None:
+        """Register an exchange before its request is sent."""
+        self._open_by_id[opened.exchange.request_id] = opened
+
+    def end(self, opened: OpenExchange, *, is_whole: bool) -> None:
+        """Drop an exchange, and tell the agent if the answer is no longer wanted."""
+        request_id = opened.exchange.request_id
+        if self._open_by_id.pop(request_id, None) is not None and not is_whole:
+            opened.link.send(Cancel(request_id=request_id))
+
+    def heard(self, link: Link, message: object) -> None:
+        """Hand an agent's message to the exchange it belongs to; late ones are dropped."""
+        opened = self._open_by_id.get(getattr(message, "request_id", None))
+        if opened is None or (isinstance(message, Confirm) and not opened.is_granted()):
+            return
+        opened.exchange.heard(link, message)
+
+    def link_lost(self, link: Link) -> None:
+        """Fail what went out over a link that has ended."""
+        for opened in list(self._open_by_id.values()):
+            opened.exchange.link_lost(link)
+
+    def cut_withdrawn(self) -> int:
+        """End every exchange whose caller has lost access; return how many."""
+        withdrawn = [opened for opened in self._open_by_id.values() if not opened.is_granted()]
+        for opened in withdrawn:
+            opened.exchange.is_wanted = False
+            opened.exchange.fail(
+                RequestRefused(
+                    "access has ended", code=Code.ACCESS_WITHDRAWN, outcome=Outcome.UNKNOWN
+                )
+            )
+        return len(withdrawn)
--- /dev/null
+++ b/src/skylarkrack/entry/_front.py
@@ -0,0 +1,122 @@
+"""What callers and the balancer see: paths, keys, and errors."""
+
+import hashlib
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import HTTP_STATUS_BY_CODE, Code, RequestRefused
+from skylarkrack._events import Event, log
+from skylarkrack._traces import Trace
+from skylarkrack.core import access_of, may_use
+from skylarkrack.entry._answers import JSON, models_body, retry_in_ms, write_refusal
+from skylarkrack.entry._context import Context
+from skylarkrack.entry._model_request import PATHS
+from skylarkrack.entry._models import ModelService
+from skylarkrack.entry._services import PREFIX, TICKET_PREFIX, PlainServices
+from skylarkrack.web import Request, Responder
+
+_BEARER = "bearer "
+_FLEET_FAULT_STATUS = 500
+
+
+class Front:
+    """Handles every request of callers."""
+
+    __slots__ = ("_context", "_models", "_services", "is_draining")
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._models = ModelService(context)
+        self._services = PlainServices(context)
+        self.is_draining = False
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        if request.path in ("/healthz", "/readyz"):
+            self._answer_probe(request.path, responder)
+            return
+        trace = self._context.traces.open(self._context.next_request_id())
+        trace.add("received", method=request.method, path=request.path)
+        refusal = None
+        try:
+            await self._serve(request, responder, trace)
+        except RequestRefused as error:
+            refusal = error
+            trace.add("error", code=int(error.code), outcome=str(error.outcome))
+            write_refusal(responder, error, request_id=trace.request_id)
+        finally:
+            self._account(trace, refusal)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        context = self._context
+        return (
+            not self.is_draining
+            and context.keeper.is_complete()
+            and context.may_act()
+            and context.budgets.is_settled()
+        )
+
+    async def _serve(self, request: Request, responder: Responder, trace: Trace) -> None:
+        if not self._context.may_act():
+            raise RequestRefused(
+                "this entry cannot confirm who has access now",
+                code=Code.ACCESS_UNCONFIRMED,
+                retry_after_ms=retry_in_ms(Code.ACCESS_UNCONFIRMED),
+            )
+        digest = _digest_of(request)
+        if request.path.startswith(PREFIX):
+            await self._services.serve(request, responder, digest=digest, trace=trace)
+        elif request.path.startswith(TICKET_PREFIX):
+            _require(request, "POST")
+            await self._services.give_ticket(request, responder, digest=digest, trace=trace)
+        elif request.path in PATHS:
+            _require(request, "POST")
+            await self._models.serve(request, responder, digest=digest, trace=trace)
+        elif request.path == "/v1/models":
+            _require(request, "GET")
+            self._answer_models(responder, digest)
+        else:
+            raise RequestRefused("no such path", code=Code.NO_SUCH_PATH)
+
+    def _answer_probe(self, path: str, responder: Responder) -> None:
+        is_good = path == "/healthz" or self.is_ready()
+        body = b"ok\n" if is_good else b"not ready\n"
+        responder.whole(200 if is_good else 503, [(b"content-type", b"text/plain")], body)
+
+    def _answer_models(self, responder: Responder, digest: str | None) -> None:
+        context = self._context
+        catalogue = context.keeper.catalogue
+        access = access_of(catalogue, digest, calendar_s=context.calendar_s())
+        names = [name for name in catalogue.adapter_by_name if may_use(access.plan, name)]
+        responder.whole(200, [JSON], models_body(sorted(names)))
+
+    def _account(self, trace: Trace, refusal: RequestRefused | None) -> None:
+        context = self._context
+        code = int(refusal.code) if refusal else 0
+        context.metrics.count("requests", str(code))
+        context.metrics.observe_ms("request_ms", trace.age_ms())
+        is_good = refusal is None or HTTP_STATUS_BY_CODE[refusal.code] < _FLEET_FAULT_STATUS
+        context.burn.observe("answered", is_good=is_good, now_ms=monotonic_ms())
+        if refusal is None:
+            log(Event.REQUEST_ENDED, request_id=trace.request_id, ms=round(trace.age_ms()))
+        else:
+            log(
+                Event.REQUEST_REFUSED,
+                request_id=trace.request_id,
+                code=code,
+                outcome=refusal.outcome,
+            )
+
+
+def _digest_of(request: Request) -> str | None:
+    """Return the digest of the caller's key; the key itself goes no further than this."""
+    value = request.header(b"authorization")
+    if value is None or not value.lower().startswith(_BEARER):
+        return None
+    key = value[len(_BEARER) :].strip()
+    return hashlib.sha256(key.encode("latin-1")).hexdigest()
+
+
+def _require(request: Request, method: str) -> None:
+    if request.method != method:
+        raise RequestRefused(f"the method is {method}", code=Code.METHOD_NOT_ALLOWED)
--- /dev/null
+++ b/src/skylarkrack/entry/_models.py
@@ -0,0 +1,214 @@
+"""Serves model requests: access, reservation, placement, relay and settlement."""
+
+from dataclasses import dataclass
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack._events import Event, log
+from skylarkrack._traces import Trace
+from skylarkrack.core import (
+    Access,
+    GrantTokens,
+    ServedName,
+    access_of,
+    fingerprint_of,
+    served_name_of,
+    still_granted,
+)
+from skylarkrack.entry._answers import retry_in_ms
+from skylarkrack.entry._context import Context
+from skylarkrack.entry._exchange import Exchange
+from skylarkrack.entry._exchanges import OpenExchange
+from skylarkrack.entry._model_request import (
+    ModelRequest,
+    engine_body,
+    parse_model_request,
+    prompt_tokens_bound,
+)
+from skylarkrack.messages import End, Run
+from skylarkrack.web import Request, Responder
+
+MAX_OFFERS = 3
+"""Endpoints that one request is offered to."""
+
+START_PATIENCE_MS = 10_000
+"""How long a request may wait at an endpoint to start."""
+
+# Refusals of one endpoint that another endpoint may well not make.
+_REROUTED = frozenset(
+    (Code.DRAINING, Code.NO_ENDPOINT, Code.QUEUE_FULL, Code.LOAD_FAILED, Code.ENDPOINT_LOST)
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Admitted:
+    """A request that may run, with everything an offer needs."""
+
+    ask: ModelRequest
+    access: Access
+    digest: str
+    served: ServedName
+    model: str
+    answer_tokens: int
+    tokens: int
+    fingerprint: bytes
+
+
+class ModelService:
+    """Serves model requests of one entry."""
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def serve(
+        self, request: Request, responder: Responder, *, digest: str | None, trace: Trace
+    ) -> None:
+        """Answer one model request, or raise `RequestRefused`."""
+        admitted = self._admit(request, digest, trace)
+        organisation = admitted.access.organisation.name
+        grant = await self._context.budgets.reserve(organisation, admitted.tokens)
+        trace.add("reserved", tokens=admitted.tokens, source=grant.source)
+        unused = 0
+        try:
+            end = await self._run(admitted, responder, trace)
+            unused = max(0, admitted.tokens - end.prompt_tokens - end.answer_tokens)
+            trace.add("answered", prompt=end.prompt_tokens, answer=end.answer_tokens)
+        except RequestRefused as refusal:
+            if refusal.outcome is Outcome.NOT_RUN:
+                unused = admitted.tokens
+            raise
+        finally:
+            self._settle(grant, unused, organisation)
+        responder.end()
+
+    # Admission
+
+    def _admit(self, request: Request, digest: str | None, trace: Trace) -> _Admitted:
+        context = self._context
+        catalogue = context.keeper.catalogue
+        access = access_of(catalogue, digest, calendar_s=context.calendar_s())
+        trace.add("access", organisation=access.organisation.name, plan=access.plan.name)
+        ask = parse_model_request(request.path, request.body)
+        served = served_name_of(catalogue, access, ask.model)
+        fingerprint = fingerprint_of(served.adapter, ask.prompt)
+        if context.suspicion.is_quarantined(fingerprint, monotonic_ms()):
+            raise RequestRefused("this prompt crashed endpoints", code=Code.QUARANTINED)
+        answer_tokens = ask.answer_tokens or access.plan.answer_tokens
+        return _Admitted(
+            ask=ask,
+            access=access,
+            digest=digest,
+            served=served,
+            model=catalogue.adapter_by_name[served.adapter].model,
+            answer_tokens=answer_tokens,
+            tokens=answer_tokens + prompt_tokens_bound(ask.prompt),
+            fingerprint=fingerprint,
+        )
+
+    def _settle(self, grant: GrantTokens, unused: int, organisation: str) -> None:
+        self._context.budgets.refund(grant, unused)
+        metrics = self._context.metrics
+        metrics.count("tokens_used", organisation, grant.tokens - unused)
+
+    # Placement and retries
+
+    async def _run(self, admitted: _Admitted, responder: Responder, trace: Trace) -> End:
+        """Offer the request to endpoints until one has answered it whole."""
+        context = self._context
+        context.retries.earn()
+        avoid: list[str] = []
+        for attempt in range(1, MAX_OFFERS + 1):
+            vm = context.router.choose(admitted.model, str(admitted.served), avoid=avoid)
+            if vm is None:
+                raise RequestRefused(
+                    "no endpoint takes the request now",
+                    code=Code.NO_ENDPOINT,
+                    retry_after_ms=retry_in_ms(Code.NO_ENDPOINT),
+                )
+            try:
+                return await self._offer(admitted, vm, attempt, responder, trace)
+            except RequestRefused as refusal:
+                trace.add("refused", vm=vm, code=int(refusal.code), outcome=str(refusal.outcome))
+                if attempt == MAX_OFFERS or not self._may_repeat(refusal, responder, admitted):
+                    raise
+                avoid.append(vm)
+                log(Event.REQUEST_REROUTED, request_id=trace.request_id, vm=vm, code=refusal.code)
+        raise AssertionError("the last offer either returns or raises")
+
+    def _may_repeat(
+        self, refusal: RequestRefused, responder: Responder, admitted: _Admitted
+    ) -> bool:
+        """Tell whether a model request may be offered again after *refusal*.
+
+        Running it twice harms nobody, so an unknown outcome does not forbid it; but then it may
+        have crashed the endpoint, and repeats are kept few.
+        """
+        if responder.has_started or refusal.code not in _REROUTED:
+            return False
+        if self._context.suspicion.is_quarantined(admitted.fingerprint, monotonic_ms()):
+            raise RequestRefused(
+                "this prompt crashed endpoints", code=Code.QUARANTINED, outcome=Outcome.RAN
+            )
+        return self._context.retries.spend()
+
+    # One offer
+
+    async def _offer(
+        self, admitted: _Admitted, vm: str, attempt: int, responder: Responder, trace: Trace
+    ) -> End:
+        context = self._context
+        link = context.links.of(vm)
+        request_id = f"{trace.request_id}.{attempt}"
+        is_suspect = context.suspicion.is_suspect(admitted.fingerprint, monotonic_ms())
+        trace.add("offered", vm=vm, suspect=is_suspect)
+        exchange = Exchange(request_id=request_id, link=link, responder=responder)
+        opened = OpenExchange(
+            exchange=exchange, link=link, is_granted=lambda: self._is_granted(admitted)
+        )
+        context.exchanges.add(opened)
+        is_whole = False
+        try:
+            context.router.observe_offer(vm)
+            link.send(_run_message(admitted, request_id, is_suspect))
+            end = await exchange.result()
+            is_whole = True
+        finally:
+            context.exchanges.end(opened, is_whole=is_whole)
+            self._note_first(exchange, trace)
+        return end
+
+    def _is_granted(self, admitted: _Admitted) -> bool:
+        context = self._context
+        return context.may_act() and still_granted(
+            context.keeper.catalogue,
+            admitted.digest,
+            admitted.served.adapter,
+            admitted.access.organisation.name,
+            calendar_s=context.calendar_s(),
+        )
+
+    def _note_first(self, exchange: Exchange, trace: Trace) -> None:
+        if exchange.first_ms is not None:
+            self._context.note_first_token(trace.started_ms, exchange.first_ms)
+
+
+def _run_message(admitted: _Admitted, request_id: str, is_suspect: bool) -> Run:
+    ask = admitted.ask
+    body = engine_body(ask, served=str(admitted.served), answer_tokens=admitted.answer_tokens)
+    return Run(
+        request_id=request_id,
+        organisation=admitted.access.organisation.name,
+        adapter=admitted.served.adapter,
+        version=admitted.served.version,
+        path=ask.path,
+        body=body,
+        tokens=admitted.tokens,
+        priority=admitted.access.plan.priority,
+        patience_ms=START_PATIENCE_MS,
+        fingerprint=admitted.fingerprint,
+        suspect=is_suspect,
+        stream=ask.stream,
+        with_usage=ask.with_usage,
+    )
--- /dev/null
+++ b/src/skylarkrack/entry/_services.py
@@ -0,0 +1,216 @@
+"""Serves calls of plain services, those that may not be repeated among them."""
+
+import hashlib
+import json
+
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack._traces import Trace
+from skylarkrack.core import Access, Route, home_key, rendezvous_first, route_access_of
+from skylarkrack.entry._answers import JSON, retry_in_ms
+from skylarkrack.entry._context import Context
+from skylarkrack.entry._exchange import Exchange
+from skylarkrack.entry._exchanges import OpenExchange
+from skylarkrack.messages import Call, End
+from skylarkrack.web import Request, Responder
+
+PREFIX = "/services/"
+TICKET_PREFIX = "/v1/idempotency-tickets/"
+PUBLIC = "-"
+"""Organisation of calls on routes that are open to all; no organisation can have this name."""
+
+CALL_PATIENCE_MS = 5_000
+MAX_KEY_LENGTH = 255
+MAX_OFFERS = 3
+SAFE_METHODS = frozenset(("GET", "HEAD"))
+
+# Headers of a caller that are handed on. Everything else, keys above all, stays here.
+_HANDED_ON = frozenset(
+    (b"content-type", b"accept", b"accept-language", b"if-match", b"if-none-match", b"user-agent")
+)
+
+
+class PlainServices:
+    """Serves the routes of plain services of one entry."""
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def serve(
+        self, request: Request, responder: Responder, *, digest: str | None, trace: Trace
+    ) -> None:
+        """Answer one call, or raise `RequestRefused`."""
+        name, _, rest = request.target.removeprefix(PREFIX).partition("/")
+        name = name.partition("?")[0]
+        route, access = self._access(name, digest)
+        if request.method not in route.methods:
+            raise RequestRefused("the route has no such method", code=Code.METHOD_NOT_ALLOWED)
+        call = _call(request, route, access, f"/{rest}", trace.request_id)
+        trace.add("access", route=name, organisation=call.organisation, keyed=_is_keyed(call))
+        if _is_keyed(call):
+            await self._once(call, digest, name, responder, trace)
+        else:
+            await self._repeatable(call, digest, name, responder, trace)
+        responder.end()
+
+    async def give_ticket(
+        self, request: Request, responder: Responder, *, digest: str | None, trace: Trace
+    ) -> None:
+        """Give the caller a ticket of an agent of the route's service.
+
+        Keys sent with it are bound to that agent's process, which then knows for certain what it
+        ran; without one, only a process that has been the key's home for long enough knows.
+        """
+        name = request.path.removeprefix(TICKET_PREFIX)
+        route, _ = self._access(name, digest)
+        agents = self._context.router.service_agents(route.service)
+        if not agents:
+            raise _no_endpoint()
+        link = self._context.links.of(agents[0])
+        tickets = self._context.tickets
+        ticket = await tickets.ask(link, trace.request_id)
+        trace.add("ticket", vm=agents[0])
+        headers = [JSON, (b"idempotency-ticket", ticket.encode())]
+        responder.whole(200, headers, json.dumps({"ticket": ticket}).encode())
+
+    def _access(self, name: str, digest: str | None) -> tuple[Route, Access | None]:
+        context = self._context
+        return route_access_of(
+            context.keeper.catalogue, name, digest, calendar_s=context.calendar_s()
+        )
+
+    async def _once(
+        self, call: Call, digest: str | None, name: str, responder: Responder, trace: Trace
+    ) -> None:
+        """Offer a call that may not be repeated to its home, and only there.
+
+        A refusal that says "not run" is the agent's own word; after anything else nothing is
+        tried again.
+        """
+        vm = self._home(call)
+        if vm is None or not self._context.router.takes_work(vm):
+            raise _no_endpoint()
+        await self._offer(call, vm, digest, name, responder, trace)
+
+    def _home(self, call: Call) -> str | None:
+        if call.ticket:
+            vm = call.ticket.partition("~")[0]
+            return vm if vm in self._agents(call.service) else self._lost_ticket()
+        key = home_key(call.organisation, call.idempotency_key)
+        return rendezvous_first(key, self._agents(call.service))
+
+    def _lost_ticket(self) -> None:
+        raise RequestRefused(
+            "the process that the ticket is bound to has gone",
+            code=Code.MAY_HAVE_RUN,
+            outcome=Outcome.UNKNOWN,
+        )
+
+    def _agents(self, service: str) -> list[str]:
+        return self._context.keeper.catalogue.agents_of(service)
+
+    async def _repeatable(
+        self, call: Call, digest: str | None, name: str, responder: Responder, trace: Trace
+    ) -> None:
+        """Offer a call to the service's agents until one has answered it."""
+        context = self._context
+        context.retries.earn()
+        agents = context.router.service_agents(call.service)[:MAX_OFFERS]
+        for left, vm in zip(range(len(agents) - 1, -1, -1), agents, strict=True):
+            try:
+                await self._offer(call, vm, digest, name, responder, trace)
+                return
+            except RequestRefused as refusal:
+                is_lost = refusal.code in (Code.ENDPOINT_LOST, Code.DRAINING, Code.NO_ENDPOINT)
+                if not left or responder.has_started or not is_lost:
+                    raise
+                is_safe = call.method in SAFE_METHODS or refusal.outcome is Outcome.NOT_RUN
+                if not is_safe or not context.retries.spend():
+                    raise
+        raise _no_endpoint()
+
+    async def _offer(
+        self,
+        call: Call,
+        vm: str,
+        digest: str | None,
+        name: str,
+        responder: Responder,
+        trace: Trace,
+    ) -> End:
+        context = self._context
+        link = context.links.of(vm)
+        if link is None:
+            raise _no_endpoint()
+        trace.add("offered", vm=vm)
+        exchange = Exchange(request_id=call.request_id, link=link, responder=responder)
+        opened = OpenExchange(
+            exchange=exchange,
+            link=link,
+            is_granted=lambda: self._is_granted(name, digest, call.organisation),
+        )
+        context.exchanges.add(opened)
+        is_whole = False
+        try:
+            context.router.observe_offer(vm)
+            link.send(call)
+            end = await exchange.result()
+            is_whole = True
+            return end
+        finally:
+            context.exchanges.end(opened, is_whole=is_whole)
+
+    def _is_granted(self, name: str, digest: str | None, organisation: str) -> bool:
+        if not self._context.may_act():
+            return False
+        try:
+            _, access = self._access(name, digest)
+        except RequestRefused:
+            return False
+        return organisation == (access.organisation.name if access else PUBLIC)
+
+
+def _call(
+    request: Request, route: Route, access: Access | None, path: str, request_id: str
+) -> Call:
+    key = request.header(b"idempotency-key") or ""
+    must_run_once = not route.repeatable and request.method not in SAFE_METHODS
+    if must_run_once and not key:
+        raise RequestRefused("the route needs the header Idempotency-Key", code=Code.KEY_REQUIRED)
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        raise RequestRefused("the Idempotency-Key is too long", code=Code.BAD_KEY)
+    return Call(
+        request_id=request_id,
+        organisation=access.organisation.name if access else PUBLIC,
+        service=route.service,
+        method=request.method,
+        path=path,
+        headers=[[name, value] for name, value in request.headers if name in _HANDED_ON],
+        body=request.body,
+        idempotency_key=key if must_run_once else "",
+        ticket=(request.header(b"idempotency-ticket") or "") if must_run_once else "",
+        body_digest=_body_digest(request, path),
+        repeat_window_ms=route.repeat_window_ms,
+        patience_ms=CALL_PATIENCE_MS,
+    )
+
+
+def _is_keyed(call: Call) -> bool:
+    return bool(call.idempotency_key)
+
+
+def _body_digest(request: Request, path: str) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method.encode(), path.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _no_endpoint() -> RequestRefused:
+    return RequestRefused(
+        "no endpoint of the service takes calls now",
+        code=Code.NO_ENDPOINT,
+        retry_after_ms=retry_in_ms(Code.NO_ENDPOINT),
+    )
--- /dev/null
+++ b/src/skylarkrack/messages.py
@@ -0,0 +1,285 @@
+"""Typed messages between the processes of the system.
+
+Each is sent as one `msgpack` frame (see `skylarkrack.wire`). Durations are in milliseconds. Ages
+are durations up to the moment of sending, so that no two clocks are ever compared.
+"""
+
+from dataclasses import dataclass
+
+PROTOCOL_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hello:
+    """First message each way on a link: who is there. *incarnation* differs at each start."""
+
+    protocol: int
+    role: str
+    vm: str
+    domain: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ping:
+    """Heartbeat; the answer is a `Pong` with the same *sequence*."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pong:
+    """Answer to a `Ping`, with what the sender knows of the configuration.
+
+    *evidence_age_ms* is the age of the newest proof that somebody read the platform at
+    *revision*, or -1 without proof; *calendar_s* is the platform's calendar time, or 0.
+    """
+
+    sequence: int
+    revision: int
+    evidence_age_ms: int
+    calendar_s: float
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ValuesRequest:
+    """Asks for every value whose revision is above the one in *known* (value name: revision)."""
+
+    known: dict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Value:
+    """A published value with its revision; *good* tells whether its body passed the checks."""
+
+    name: str
+    revision: int
+    body: bytes
+    good: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ValuesEnd:
+    """Ends the values sent for a request; they bring the receiver to *revision*."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PledgeRequest:
+    """The home of some budgets asks a member to pledge its shares for the lease time."""
+
+    sequence: int
+    budgets: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pledge:
+    """A member's pledge: rows of `[budget, rate, capacity, tokens]`."""
+
+    sequence: int
+    rows: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reserve:
+    """Asks a budget's home for *tokens*."""
+
+    sequence: int
+    budget: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reserved:
+    """The home granted a `Reserve`; *pool* and *stamp* name the grant in a refund."""
+
+    sequence: int
+    pool: int
+    stamp: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotReserved:
+    """The home refused a `Reserve`; *retry_after_ms* is -1 where the receiver is not the home."""
+
+    sequence: int
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refund:
+    """Returns tokens of the grant *stamp* of *pool* that were not used."""
+
+    budget: str
+    pool: int
+    stamp: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPermitRequest:
+    """An agent asks for one load out of the weight store's budget."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPermit:
+    """Answer to a `LoadPermitRequest`."""
+
+    sequence: int
+    granted: bool
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """Asks an agent to run a model request.
+
+    *request_id* contains the entry's incarnation. *patience_ms* is how long the request may wait
+    to start. *fingerprint* identifies the prompt whatever its encoding. *suspect* asks for a run
+    with no other request in the batch.
+    """
+
+    request_id: str
+    organisation: str
+    adapter: str
+    version: int
+    path: str
+    body: bytes
+    tokens: int
+    priority: int
+    patience_ms: int
+    fingerprint: bytes
+    suspect: bool = False
+    stream: bool = True
+    with_usage: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """Asks an agent to call its plain service.
+
+    *idempotency_key* is empty for a repeatable call. *ticket* is the agent incarnation that the
+    key is bound to, or empty. *body_digest* covers method, path and body.
+    """
+
+    request_id: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    headers: list
+    body: bytes
+    idempotency_key: str
+    ticket: str
+    body_digest: bytes
+    repeat_window_ms: int
+    patience_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cancel:
+    """The entry no longer wants the answer to *request_id*."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """Status and headers of an answer; sent once the agent has verified who answers."""
+
+    request_id: str
+    status: int
+    headers: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Chunk:
+    """Bytes of an answer; *offset* counts the bytes sent before."""
+
+    request_id: str
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class End:
+    """The answer is whole: *size* bytes; tokens as the engine counted them."""
+
+    request_id: str
+    size: int
+    prompt_tokens: int
+    answer_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failed:
+    """There will be no (more) answer. *code* and *outcome* are those of `skylarkrack.errors`."""
+
+    request_id: str
+    code: int
+    outcome: str
+    retry_after_ms: int = -1
+    detail: str = ""
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointReport:
+    """What an agent tells entries of its endpoint; sent on change, at most every 50 ms."""
+
+    model: str
+    service: str
+    ready: bool
+    running: int
+    waiting: int
+    capacity: int
+    resident: list
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Suspects:
+    """Fingerprints that were running when an endpoint crashed, with the crash's own id."""
+
+    crash_id: str
+    fingerprints: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cleared:
+    """Fingerprints that were suspected and then ran to their end."""
+
+    fingerprints: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Confirm:
+    """An agent asks, right before a call that may not be repeated, whether it is still wanted."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Confirmed:
+    """The entry still waits for *request_id*, and its caller still has access."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TicketRequest:
+    """Asks a service's agent for a ticket for `Call.ticket`."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """Answer to a `TicketRequest`."""
+
+    request_id: str
+    ticket: str
--- /dev/null
+++ b/src/skylarkrack/ports/_service.py
@@ -0,0 +1,45 @@
+"""A plain service beside an agent, called over HTTP."""
+
+from skylarkrack._errors import LinkLost
+from skylarkrack.messages import Call
+from skylarkrack.web import ClientResponse, HttpClient
+
+SERVICE_TIMEOUT_MS = 30_000
+PROBE_TIMEOUT_MS = 1000
+
+
+class ServicePort:
+    """The service at one address; a broken or silent connection is `LinkLost`."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    async def call(self, call: Call) -> ClientResponse:
+        """Send *call* and return the head of the answer.
+
+        The connection is new, so `LinkLost.sent` is False only if nothing reached the service.
+        """
+        headers = [(bytes(name), bytes(value)) for name, value in call.headers]
+        return await self._client.request(
+            call.method,
+            call.path,
+            headers=headers,
+            body=call.body,
+            timeout_ms=SERVICE_TIMEOUT_MS,
+            fresh=True,
+        )
+
+    async def is_up(self) -> bool:
+        """Tell whether the service accepts connections and answers."""
+        try:
+            response = await self._client.request("GET", "/healthz", timeout_ms=PROBE_TIMEOUT_MS)
+            await response.whole(timeout_ms=PROBE_TIMEOUT_MS)
+        except LinkLost:
+            return False
+        return response.status < 500
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._client.close()
--- /dev/null
+++ b/src/skylarkrack/web/_server.py
@@ -0,0 +1,360 @@
+"""A bounded HTTP/1.1 server on `h11` for callers, the balancer and operators."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack._events import Event, log
+from skylarkrack._settings import LimitSettings, split_address
+
+READ_BYTES = 65_536
+DRAIN_POLL_MS = 20
+
+MAX_UNSENT_BYTES = 4_194_304
+"""Bytes of an answer that may wait for a caller that does not read."""
+
+_SINGLE_HEADERS = (b"host", b"content-length", b"transfer-encoding", b"authorization")
+_SINGLE_HEADERS += (b"idempotency-key", b"idempotency-ticket", b"content-type")
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A whole request. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    def header(self, name: bytes) -> str | None:
+        """Return the value of the header *name*, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return None
+
+
+class Responder:
+    """Writes one answer; whoever holds it may write until `end` or `cut`."""
+
+    __slots__ = ("_connection", "_has_ended", "_keep_alive", "_out", "_writer", "has_started")
+
+    def __init__(
+        self, connection: h11.Connection, writer: asyncio.StreamWriter, *, keep_alive: bool
+    ) -> None:
+        self._connection = connection
+        self._writer = writer
+        self._keep_alive = keep_alive
+        self._has_ended = False
+        self._out: list[bytes] = []
+        self.has_started = False
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the caller can no longer be written to."""
+        return self._writer.transport.is_closing()
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the answer was written whole."""
+        return self._has_ended
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write status and headers; without a content length the body is chunked."""
+        self.has_started = True
+        if not self._keep_alive:
+            headers = [*headers, (b"connection", b"close")]
+        self._queue(h11.Response(status_code=status, headers=headers))
+
+    def send(self, data: bytes) -> None:
+        """Write a part of the body at the end of the loop turn."""
+        if data:
+            self._queue(h11.Data(data=data))
+
+    def end(self) -> None:
+        """End a whole answer."""
+        self._queue(h11.EndOfMessage())
+        self._has_ended = True
+        self._flush()
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer at once."""
+        self.start(status, [*headers, (b"content-length", str(len(body)).encode())])
+        self.send(body)
+        self.end()
+
+    def cut(self) -> None:
+        """Close the connection, so that an answer that is not whole cannot pass for whole."""
+        self._flush()
+        self._writer.close()
+
+    def _queue(self, event: object) -> None:
+        if self.is_gone:
+            return
+        if not self._out:
+            asyncio.get_running_loop().call_soon(self._flush)
+        data = self._connection.send(event)
+        if data:
+            self._out.append(data)
+
+    def _flush(self) -> None:
+        if not self._out or self.is_gone:
+            return
+        data, self._out = b"".join(self._out), []
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._writer.transport.abort()
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+Refuser = Callable[[Responder, RequestRefused], None]
+
+
+class HttpServer:
+    """Serves *handler*; what is refused before a handler sees it is answered by *refuse*."""
+
+    __slots__ = (
+        "_connections",
+        "_handler",
+        "_is_closing",
+        "_limits",
+        "_name",
+        "_refuse",
+        "_server",
+    )
+
+    def __init__(
+        self, handler: Handler, *, refuse: Refuser, limits: LimitSettings, name: str
+    ) -> None:
+        self._handler = handler
+        self._refuse = refuse
+        self._limits = limits
+        self._name = name
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._is_closing = False
+
+    async def start(self, address: str) -> None:
+        """Listen on *address*."""
+        host, port = split_address(address)
+        limit = self._limits.head_bytes
+        self._server = await asyncio.start_server(self._serve, host, port, limit=limit)
+
+    async def drain(self) -> None:
+        """Stop accepting, close idle connections, and wait for the answers under way."""
+        self._is_closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        while self._connections:  # noqa: ASYNC110 - each connection ends by its own time-outs
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self._is_closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether connections are to be closed after their answer."""
+        return self._is_closing
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._connections) >= self._limits.connections or self._is_closing:
+            writer.close()
+            return
+        connection = _Connection(self, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        except (OSError, EOFError, TimeoutError, h11.ProtocolError):
+            pass
+        finally:
+            self._connections.discard(connection)
+            writer.close()
+
+
+class _Connection:
+    """One caller's connection: requests are read one after another and answered in order."""
+
+    __slots__ = ("_h11", "_idle", "_reader", "_server", "_writer")
+
+    def __init__(
+        self, server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._server = server
+        self._reader = reader
+        self._writer = writer
+        self._h11 = self._new_parser()
+        self._idle = True
+
+    def _new_parser(self) -> h11.Connection:
+        head_bytes = self._server._limits.head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if self._idle:
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Drop the connection."""
+        self._writer.transport.abort()
+
+    async def run(self) -> None:
+        """Serve requests until either side closes."""
+        while not self._writer.transport.is_closing():
+            if not await self._serve_one():
+                return
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; tell whether the connection can serve another."""
+        try:
+            request = await self._read_request()
+        except RequestRefused as refusal:
+            self._refuse(refusal)
+            return False
+        if request is None:
+            return False
+        keep_alive = not self._server.is_closing
+        responder = Responder(self._h11, self._writer, keep_alive=keep_alive)
+        await self._handle(request, responder)
+        self._idle = True
+        if not responder.has_ended or not keep_alive:
+            return False
+        return self._next_cycle()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        handling = asyncio.ensure_future(self._server._handler(request, responder))
+        watching = asyncio.ensure_future(self._watch_close())
+        try:
+            await asyncio.wait((handling, watching), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            if not handling.done():
+                handling.cancel()
+            # The next request may be read only when this read has ended.
+            watching.cancel()
+            await asyncio.wait((watching,))
+        try:
+            await handling
+        except asyncio.CancelledError:
+            pass
+        except RequestRefused as refusal:
+            self._server._refuse(responder, refusal)
+        except Exception as error:  # noqa: BLE001 - one request's fault must not end the process
+            log(Event.HANDLER_FAILED, server=self._server._name, error=repr(error))
+            responder.cut()
+
+    async def _watch_close(self) -> None:
+        """Return when the caller has closed; bytes of a next request stay in the parser."""
+        while not self._h11.trailing_data[1]:
+            data = await self._reader.read(READ_BYTES)
+            try:
+                self._h11.receive_data(data)
+            except RuntimeError:
+                return
+            if not data:
+                return
+            if len(self._h11.trailing_data[0]) > self._server._limits.head_bytes:
+                await asyncio.Event().wait()
+
+    def _next_cycle(self) -> bool:
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def _read_request(self) -> Request | None:
+        """Return the next request whole, or None if the caller is done."""
+        limits = self._server._limits
+        head = await self._next_event()
+        if head is None:
+            return None
+        self._check_head(head)
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if event is None:
+                return None
+            if isinstance(event, h11.EndOfMessage):
+                break
+            body += event.data
+            if len(body) > limits.body_bytes:
+                raise RequestRefused("the body is too large", code=Code.BODY_TOO_LARGE)
+        return Request(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("ascii"),
+            headers=[(bytes(name), bytes(value)) for name, value in head.headers],
+            body=bytes(body),
+        )
+
+    def _check_head(self, head: h11.Request) -> None:
+        names = [name for name, _ in head.headers]
+        for name in _SINGLE_HEADERS:
+            if names.count(name) > 1:
+                raise _malformed(f"two headers {name.decode()}")
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise _malformed("two lengths")
+        if not head.target.startswith(b"/"):
+            raise _malformed("the target is no path")
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._server._limits.body_bytes:
+                raise RequestRefused("the body is too large", code=Code.BODY_TOO_LARGE)
+        if self._h11.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._writer.write(self._h11.send(interim))
+
+    async def _next_event(self) -> object | None:
+        """Return the next event of the parser; None at the end of the connection."""
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                code = Code.HEAD_TOO_LARGE if error.error_status_hint == 431 else None
+                raise _malformed(str(error), code=code) from error
+            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                return None
+            if event is not h11.NEED_DATA:
+                return event
+            await self._feed()
+
+    async def _feed(self) -> None:
+        timeout_ms = self._server._limits.read_timeout_ms
+        started = self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0]
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if not started:
+                raise
+            raise RequestRefused("the request came too slowly", code=Code.REQUEST_TIMEOUT) from None
+        self._idle = False
+        self._h11.receive_data(data)
+
+    def _refuse(self, refusal: RequestRefused) -> None:
+        log(Event.BAD_CALLER, server=self._server._name, code=int(refusal.code))
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        responder = Responder(self._h11, self._writer, keep_alive=False)
+        self._server._refuse(responder, refusal)
+
+
+def _malformed(reason: str, *, code: Code | None = None) -> RequestRefused:
+    return RequestRefused(reason, code=code or Code.MALFORMED_HTTP, outcome=Outcome.NOT_RUN)
--- /dev/null
+++ b/src/skylarkrack/wire/__init__.py
@@ -0,0 +1,15 @@
+"""Streams of `msgpack` frames between the processes of the system."""
+
+from skylarkrack.wire._codec import MAX_FRAME_BYTES, FrameDecoder, decode, encode
+from skylarkrack.wire._link import Link, LinkOwner, accept_links, dial
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "FrameDecoder",
+    "Link",
+    "LinkOwner",
+    "accept_links",
+    "decode",
+    "dial",
+    "encode",
+]
--- /dev/null
+++ b/src/skylarkrack/wire/_link.py
@@ -0,0 +1,199 @@
+"""A link: one TCP connection between two processes, with heartbeats both ways.
+
+A connection may go silent for good with no reset, because something between its ends has lost
+track of it. Each end pings; one that hears nothing for `SILENCE_MS` closes the link, and the side
+that dialled it opens a new connection.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Protocol
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import FrameRejected
+from skylarkrack._events import Event, log
+from skylarkrack._settings import split_address
+from skylarkrack.messages import PROTOCOL_VERSION, Hello, Ping, Pong
+from skylarkrack.wire._codec import FrameDecoder, encode
+
+PING_MS = 300
+"""Interval of heartbeats."""
+
+SILENCE_MS = 1500
+"""Silence after which a link is taken for dead."""
+
+CONNECT_TIMEOUT_MS = 1000
+REDIAL_MS = 200
+READ_BYTES = 65_536
+
+MAX_UNSENT_BYTES = 16_777_216
+"""Bytes that may wait for a peer that does not read; the link is closed beyond."""
+
+
+class LinkOwner(Protocol):
+    """The process behind a link."""
+
+    def hello(self) -> Hello:
+        """Return what to introduce this process with."""
+
+    def pong(self, ping: Ping) -> Pong:
+        """Return the answer to a heartbeat."""
+
+    def link_up(self, link: "Link") -> None:
+        """A link is ready for messages."""
+
+    def link_down(self, link: "Link") -> None:
+        """A link that was up has ended."""
+
+    def heard(self, link: "Link", message: object) -> None:
+        """A message other than a heartbeat's came in."""
+
+    def pong_heard(self, link: "Link", pong: Pong, asked_ms: float) -> None:
+        """A heartbeat that was sent at *asked_ms* was answered."""
+
+
+@dataclass(slots=True)
+class _Heartbeat:
+    sequence: int = 0
+    sent_ms: float = 0.0
+
+
+class Link:
+    """One end of a link. Messages of one loop turn are written together."""
+
+    __slots__ = (
+        "_beat",
+        "_decoder",
+        "_heard_ms",
+        "_out",
+        "_owner",
+        "_reader",
+        "_writer",
+        "is_open",
+        "peer",
+    )
+
+    def __init__(
+        self, owner: LinkOwner, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._owner = owner
+        self._reader = reader
+        self._writer = writer
+        self._decoder = FrameDecoder()
+        self._out: list[bytes] = []
+        self._beat = _Heartbeat()
+        self._heard_ms = monotonic_ms()
+        self.peer: Hello | None = None
+        self.is_open = True
+
+    @property
+    def vm(self) -> str:
+        """Name of the VM at the other end."""
+        return self.peer.vm if self.peer else "?"
+
+    def send(self, message: object) -> None:
+        """Queue *message*; it is written at the end of the loop turn."""
+        if not self.is_open:
+            return
+        if not self._out:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._out.append(encode(message))
+
+    def close(self) -> None:
+        """Close the connection; `run` then ends."""
+        if not self.is_open:
+            return
+        self._flush()
+        self.is_open = False
+        self._writer.close()
+
+    async def run(self) -> None:
+        """Introduce this process, then deliver messages until the link ends."""
+        self.send(self._owner.hello())
+        pinging = asyncio.create_task(self._ping())
+        try:
+            await self._read()
+        except FrameRejected as error:
+            log(Event.FRAME_REJECTED, vm=self.vm, reason=str(error))
+        except (OSError, EOFError, TimeoutError):
+            pass
+        except Exception as error:  # noqa: BLE001 - a message's fault must not end the process
+            log(Event.HANDLER_FAILED, server="link", vm=self.vm, error=repr(error))
+        finally:
+            pinging.cancel()
+            self.close()
+            if self.peer is not None:
+                self._owner.link_down(self)
+
+    async def _read(self) -> None:
+        while self.is_open:
+            async with asyncio.timeout(SILENCE_MS / 1000):
+                data = await self._reader.read(READ_BYTES)
+            if not data:
+                return
+            self._heard_ms = monotonic_ms()
+            for message in self._decoder.feed(data):
+                self._take(message)
+
+    async def _ping(self) -> None:
+        while self.is_open:
+            self._beat = _Heartbeat(self._beat.sequence + 1, monotonic_ms())
+            self.send(Ping(sequence=self._beat.sequence))
+            await asyncio.sleep(PING_MS / 1000)
+
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        if self.peer is None:
+            raise FrameRejected(f"{type(message).__name__} before Hello")
+        self._owner.heard(self, message)
+
+    @_take.register
+    def _(self, message: Hello) -> None:
+        if message.protocol != PROTOCOL_VERSION or self.peer is not None:
+            raise FrameRejected(f"Hello with protocol {message.protocol}")
+        self.peer = message
+        self._owner.link_up(self)
+
+    @_take.register
+    def _(self, message: Ping) -> None:
+        self.send(self._owner.pong(message))
+
+    @_take.register
+    def _(self, message: Pong) -> None:
+        # An answer to an older ping would date the peer's knowledge too late.
+        if message.sequence == self._beat.sequence and self.peer is not None:
+            self._owner.pong_heard(self, message, self._beat.sent_ms)
+
+    def _flush(self) -> None:
+        if not self._out or not self.is_open:
+            return
+        data, self._out = b"".join(self._out), []
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._writer.transport.abort()
+
+
+async def accept_links(owner: LinkOwner, address: str) -> asyncio.Server:
+    """Listen on *address*; the socket also keeps an older copy of this process out."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await Link(owner, reader, writer).run()
+
+    host, port = split_address(address)
+    return await asyncio.start_server(serve, host, port)
+
+
+async def dial(owner: LinkOwner, address: str, is_wanted: Callable[[], bool]) -> None:
+    """Keep a link to *address* open for as long as *is_wanted* says so."""
+    host, port = split_address(address)
+    while is_wanted():
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(REDIAL_MS / 1000)
+            continue
+        await Link(owner, reader, writer).run()
+        await asyncio.sleep(REDIAL_MS / 1000)
--- /dev/null
+++ b/standins/_base.py
@@ -0,0 +1,74 @@
+"""What the stand-ins share: a server, a fault table, and a main function."""
+
+import asyncio
+import json
+import signal
+import sys
+from dataclasses import replace
+
+from skylarkrack._errors import RequestRefused
+from skylarkrack._settings import LimitSettings
+from skylarkrack.web import HttpServer, Request, Responder
+
+JSON = (b"content-type", b"application/json")
+LIMITS = LimitSettings(body_bytes=16_777_216, read_timeout_ms=120_000)
+
+
+class StandIn:
+    """An HTTP server with a fault table; subclasses answer in `answer`."""
+
+    def __init__(self, faults: object) -> None:
+        self.faults = faults
+        self._server = HttpServer(self._handle, refuse=_refuse, limits=LIMITS, name="stand-in")
+
+    async def start(self, address: str) -> None:
+        """Listen on *address*."""
+        await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stop listening and drop every connection."""
+        await self._server.close()
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer a request other than one for the fault table."""
+        raise NotImplementedError
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        if request.path == "/faults" and request.method == "POST":
+            self.faults = replace(self.faults, **json.loads(request.body))
+            write_json(responder, {})
+            return
+        await self.answer(request, responder)
+
+
+def write_json(
+    responder: Responder, document: object, *, status: int = 200, headers: tuple = ()
+) -> None:
+    """Answer with JSON."""
+    responder.whole(status, [JSON, *headers], json.dumps(document).encode())
+
+
+def run(stand_in: StandIn, address: str) -> None:
+    """Serve *stand_in* until a signal."""
+
+    async def serve() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        await stand_in.start(address)
+        await stopping.wait()
+        await stand_in.close()
+
+    asyncio.run(serve())
+
+
+def arguments(count: int, usage: str) -> list[str]:
+    """Return the command line's arguments, or exit with *usage*."""
+    if len(sys.argv) != count + 1:
+        sys.exit(f"usage: {usage}")
+    return sys.argv[1:]
+
+
+def _refuse(responder: Responder, refusal: RequestRefused) -> None:
+    write_json(responder, {"error": str(refusal)}, status=400)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,127 @@
+"""A stand-in for the platform: values with revisions, and the rate-limited weight store.
+
+Operators and the platform itself publish with `PUT /v1/values/NAME`; the system only reads.
+`POST /store/NAME` takes as long as a load would at the brief's rates.
+"""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from email.utils import formatdate
+from urllib.parse import parse_qs, unquote
+
+from skylarkrack.web import Request, Responder
+from standins._base import StandIn, arguments, run, write_json
+
+POLL_S = 0.005
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformFaults:
+    """Faults of the platform. *stale_revision* answers as if nothing newer were published."""
+
+    down: bool = False
+    stale_revision: int = 0
+    delay_s: float = 0.0
+    store_fails: bool = False
+    load_s: float = 0.25
+    store_knee: int = 16
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Stored:
+    revision: int
+    body: bytes
+
+
+class Platform(StandIn):
+    """Values in memory, watched by long polls."""
+
+    def __init__(self, faults: PlatformFaults | None = None) -> None:
+        super().__init__(faults or PlatformFaults())
+        self.revision = 0
+        self.calls = 0
+        self.loads = 0
+        self._loading = 0
+        self._versions_by_name: dict[str, list[_Stored]] = {}
+
+    def publish(self, name: str, body: bytes) -> int:
+        """Put a newer value in place and return its revision."""
+        self.revision += 1
+        stored = _Stored(revision=self.revision, body=body)
+        self._versions_by_name.setdefault(name, []).append(stored)
+        return self.revision
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer readers, publishers and engines."""
+        if request.path.startswith("/store/"):
+            await self._load(responder)
+            return
+        if request.path == "/stats":
+            write_json(responder, {"calls": self.calls, "loads": self.loads})
+            return
+        name = unquote(request.path.removeprefix("/v1/values/"))
+        if request.method == "PUT":
+            write_json(responder, {"revision": self.publish(name, request.body)})
+            return
+        self.calls += 1
+        await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            responder.cut()
+        elif request.path == "/v1/changes":
+            await self._changes(request, responder)
+        else:
+            self._value(name, responder)
+
+    async def _changes(self, request: Request, responder: Responder) -> None:
+        query = parse_qs(request.target.partition("?")[2])
+        after, wait_ms = int(query["after"][0]), int(query["wait_ms"][0])
+        ends = time.monotonic() + wait_ms / 1000
+        while self._shown_revision() <= after and time.monotonic() < ends:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+        if self.faults.down:
+            responder.cut()
+            return
+        shown = {name: self._shown(name) for name in self._versions_by_name}
+        newer = {n: s.revision for n, s in shown.items() if s and s.revision > after}
+        body = json.dumps({"revision": self._shown_revision(), "values": newer}).encode()
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"date", formatdate(usegmt=True).encode()),
+        ]
+        responder.whole(200, headers, body)
+
+    def _value(self, name: str, responder: Responder) -> None:
+        stored = self._shown(name)
+        if stored is None:
+            write_json(responder, {}, status=404)
+            return
+        responder.whole(200, [(b"x-revision", str(stored.revision).encode())], stored.body)
+
+    def _shown_revision(self) -> int:
+        return min(self.revision, self.faults.stale_revision or self.revision)
+
+    def _shown(self, name: str) -> _Stored | None:
+        shown = [
+            stored
+            for stored in self._versions_by_name.get(name, [])
+            if stored.revision <= self._shown_revision()
+        ]
+        return shown[-1] if shown else None
+
+    async def _load(self, responder: Responder) -> None:
+        """Take a quarter of a second, proportionally longer beyond the knee."""
+        self._loading += 1
+        self.loads += 1
+        try:
+            slowdown = max(1.0, self._loading / self.faults.store_knee)
+            await asyncio.sleep(self.faults.load_s * slowdown)
+        finally:
+            self._loading -= 1
+        write_json(responder, {}, status=500 if self.faults.store_fails else 200)
+
+
+if __name__ == "__main__":
+    (listen,) = arguments(1, "platform IP:PORT")
+    run(Platform(), listen)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of skylarkrack."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project's own development."""
