--- a/src/skylarkrack/core/_access_lease.py
+++ b/src/skylarkrack/core/_access_lease.py
@@ -67,15 +67,22 @@
         """Return the age of the evidence; infinite if there never was any."""
         return now_ms - self._evidence_ms
 
+    def ends_ms(self) -> float:
+        """Return until when this process may act on its configuration, by what it knows now."""
+        return max(self._evidence_ms + ACCESS_LEASE_MS, self._outage_ends_ms())
+
     def is_held(self, now_ms: float) -> bool:
         """Tell whether this process may act on its configuration."""
-        if now_ms - self._evidence_ms <= ACCESS_LEASE_MS:
-            return True
-        return self._is_platform_down_for_all(now_ms)
+        return now_ms <= self.ends_ms()
 
-    def _is_platform_down_for_all(self, now_ms: float) -> bool:
+    def _outage_ends_ms(self) -> float:
+        """Return until when the platform may be taken to be down for everybody."""
         if self._evidence_ms == float("-inf"):
-            return False
-        oldest_ms = now_ms - PEER_ANSWER_MS
-        heard = {peer.domain for peer in self._peer_by_vm.values() if peer.heard_ms >= oldest_ms}
-        return self._domains <= heard
+            return self._evidence_ms
+        if not self._domains:
+            return float("inf")
+        heard_ms = {domain: float("-inf") for domain in self._domains}
+        for peer in self._peer_by_vm.values():
+            if peer.domain in heard_ms:
+                heard_ms[peer.domain] = max(heard_ms[peer.domain], peer.heard_ms)
+        return min(heard_ms.values()) + PEER_ANSWER_MS
--- a/src/skylarkrack/core/_budget.py
+++ b/src/skylarkrack/core/_budget.py
@@ -99,6 +99,13 @@
     message: object
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseSeen:
+    """This process may act on its roster and limits until *until_ms*."""
+
+    until_ms: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Ticked:
     """Time has passed."""
@@ -129,6 +136,7 @@
         "_asked_by_sequence",
         "_entries",
         "_held",
+        "_lease_until_ms",
         "_limit_by_budget",
         "_linked",
         "_next_renewal_ms",
@@ -143,6 +151,7 @@
 
     def __init__(self, *, vm: str) -> None:
         self._vm = vm
+        self._lease_until_ms = float("-inf")
         self._schedule = ShareSchedule(vm=vm)
         self._entries: frozenset[str] = frozenset()
         self._linked: frozenset[str] = frozenset()
@@ -209,6 +218,11 @@
         self._reshape_shares(now_ms)
         return self._leave_lost_homes(now_ms)
 
+    @handle.register
+    def _(self, event: LeaseSeen, now_ms: float) -> list:
+        self._lease_until_ms = event.until_ms
+        return []
+
     @handle.register
     def _(self, event: LinksChanged, now_ms: float) -> list:
         self._linked = frozenset(event.linked)
@@ -216,6 +230,8 @@
 
     @handle.register
     def _(self, event: TokensWanted, now_ms: float) -> list:
+        if now_ms > self._lease_until_ms:
+            return [_deny(event.ticket, Code.ACCESS_UNCONFIRMED, PLEDGE_LEASE_MS)]
         limit = self._limit_by_budget.get(event.budget)
         if limit is None:
             return [_deny(event.ticket, Code.PLAN_LAPSED, None)]
@@ -244,6 +260,10 @@
 
     @handle.register
     def _(self, event: PeerSaid, now_ms: float) -> list:
+        if now_ms > self._lease_until_ms:
+            # A process that was cut off, or paused and woken, may hold more than its share of
+            # a newer roster; it grants and pledges nothing until it has seen that.
+            return _answer_nothing(event)
         return self._hear(event.message, event.vm, now_ms)
 
     @handle.register
@@ -254,6 +274,8 @@
         if now_ms >= self._next_renewal_ms:
             self._next_renewal_ms = now_ms + RENEW_MS
             actions += self._renew(now_ms)
+        if now_ms > self._lease_until_ms:
+            return actions
         for budget in list(self._pool_by_budget):
             actions += self._settle(budget, now_ms)
         return actions
@@ -356,6 +378,8 @@
 
     def _take_own(self, wanted: TokensWanted, now_ms: float) -> list:
         """Take from this entry's own share, after the end of any pledge."""
+        if now_ms > self._lease_until_ms:
+            return [_deny(wanted.ticket, Code.ACCESS_UNCONFIRMED, PLEDGE_LEASE_MS)]
         share = self._share_by_budget.get(wanted.budget)
         if share is None:
             return [_deny(wanted.ticket, Code.PLAN_LAPSED, None)]
@@ -508,6 +532,13 @@
         return self._settle(refund.budget, now_ms)
 
 
+def _answer_nothing(event: PeerSaid) -> list:
+    if not isinstance(event.message, Reserve):
+        return []
+    answer = NotReserved(sequence=event.message.sequence, retry_after_ms=-1)
+    return [Send(vm=event.vm, message=answer)]
+
+
 def _grant(wanted: TokensWanted, *, source: str, pool: int, stamp: int) -> GrantTokens:
     return GrantTokens(
         ticket=wanted.ticket,
--- a/src/skylarkrack/entry/_budgets.py
+++ b/src/skylarkrack/entry/_budgets.py
@@ -14,6 +14,7 @@
     DenyTokens,
     EntriesChanged,
     GrantTokens,
+    LeaseSeen,
     Limit,
     LimitsChanged,
     LinksChanged,
@@ -31,6 +32,7 @@
     Code.LARGER_THAN_BURST: "the request is larger than the plan's burst; ask for fewer tokens",
     Code.BUDGET_UNREACHABLE: "the organisation's budget cannot be reached now",
     Code.PLAN_LAPSED: "the plan is not in force",
+    Code.ACCESS_UNCONFIRMED: "this entry cannot confirm who has access now",
 }
 
 
@@ -100,6 +102,10 @@
         entries = {vm.name for vm in catalogue.vm_by_name.values() if vm.role == "entry"}
         self._do(EntriesChanged(entries=entries))
 
+    def see_lease(self, until_ms: float) -> None:
+        """Take in until when this entry may act on its configuration."""
+        self._do(LeaseSeen(until_ms=until_ms))
+
     def update_links(self) -> None:
         """Take in the links to other entries."""
         self._do(LinksChanged(linked=self._links.linked("entry")))
--- a/src/skylarkrack/entry/_entry.py
+++ b/src/skylarkrack/entry/_entry.py
@@ -217,6 +217,7 @@
 
     async def _tick(self) -> None:
         while True:
+            self._context.budgets.see_lease(self._context.keeper.lease.ends_ms())
             self._context.budgets.tick()
             self._note_lease()
             self._cut_withdrawn()
--- /dev/null
+++ b/tests/budget_net.py
@@ -0,0 +1,179 @@
+"""Several budget cores and a network between them whose faults a test chooses.
+
+Each entry reads the roster when it can; as in the daemon, its lease then holds for the time of
+the access lease from the read. Time moves in small steps; messages take a step to arrive.
+"""
+
+from dataclasses import dataclass, field
+
+from skylarkrack.core import (
+    ACCESS_LEASE_MS,
+    BudgetCore,
+    DenyTokens,
+    EntriesChanged,
+    GrantTokens,
+    LeaseSeen,
+    Limit,
+    LimitsChanged,
+    LinksChanged,
+    PeerSaid,
+    Send,
+    Ticked,
+    TokensUnused,
+    TokensWanted,
+)
+from skylarkrack.messages import Reserved
+from tests.builders import BUDGET
+
+STEP_MS = 50.0
+RATE = 100.0
+BURST = 300.0
+SQUEEZE_TOKENS = 30
+
+
+@dataclass(slots=True)
+class Node:
+    """One entry: its core, what is on its way to it, and its faults."""
+
+    core: BudgetCore
+    inbox: list[tuple[str, object]] = field(default_factory=list)
+    paused: bool = False
+    reads_platform: bool = True
+    woken: bool = False
+
+
+class BudgetNet:
+    """Entries by VM name, a published roster, and the grants that were used."""
+
+    def __init__(self, *names: str) -> None:
+        self.now_ms = 0.0
+        self.roster = frozenset(names)
+        self.cuts: set[frozenset[str]] = set()
+        self.node_by_vm: dict[str, Node] = {}
+        self.grants: list[tuple[float, GrantTokens]] = []
+        self.used: list[list[float]] = []
+        self.denied: list[DenyTokens] = []
+        self._debited_ms: dict[tuple[str, int], float] = {}
+        self._tickets = 0
+        for name in names:
+            self.start(name)
+
+    # Faults
+
+    def start(self, vm: str) -> None:
+        """Start a new process on *vm*, in place of any that was there."""
+        node = self.node_by_vm[vm] = Node(core=BudgetCore(vm=vm))
+        limits = {BUDGET: Limit(rate=RATE, burst=BURST)}
+        self._handle(vm, node, LimitsChanged(limit_by_budget=limits))
+        self._read(vm, node)
+
+    def kill(self, vm: str) -> None:
+        """End the process on *vm*."""
+        self.node_by_vm.pop(vm, None)
+
+    def publish(self, *names: str) -> None:
+        """Publish another roster; each entry sees it at its next read."""
+        self.roster = frozenset(names)
+
+    def cut(self, first: str, second: str) -> None:
+        """Cut the network between two entries."""
+        self.cuts.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """End all cuts; everybody reads the platform again."""
+        self.cuts.clear()
+        for node in self.node_by_vm.values():
+            node.reads_platform = True
+
+    # Time and work
+
+    def advance(self, elapsed_ms: float) -> None:
+        """Let time pass in steps."""
+        ends_ms = self.now_ms + elapsed_ms
+        while self.now_ms < ends_ms:
+            self.now_ms += STEP_MS
+            self._step()
+
+    def want(self, vm: str, tokens: int) -> None:
+        """A request at *vm* wants tokens."""
+        node = self.node_by_vm.get(vm)
+        if node is None or node.paused:
+            return
+        self._tickets += 1
+        wanted = TokensWanted(ticket=self._tickets, budget=BUDGET, tokens=tokens)
+        self._handle(vm, node, wanted)
+
+    def squeeze(self) -> None:
+        """Every entry asks for all tokens there can be, twice."""
+        for _ in range(2):
+            for _ in range(int(BURST) // SQUEEZE_TOKENS):
+                for vm in list(self.node_by_vm):
+                    self.want(vm, SQUEEZE_TOKENS)
+            self.advance(3 * STEP_MS)
+
+    def refund(self, index: int, part: float) -> None:
+        """The request of a grant has ended and used only *part* of it."""
+        if not self.grants:
+            return
+        vm, grant = self.grants[index % len(self.grants)]
+        use = self.used[index % len(self.grants)]
+        unused = int(grant.tokens * (1 - part))
+        node = self.node_by_vm.get(vm)
+        if use[1] != grant.tokens or node is None or node.paused or unused == 0:
+            return
+        use[1] -= unused
+        self._handle(vm, node, TokensUnused(grant=grant, tokens=unused))
+
+    def uses(self) -> list[tuple[float, float]]:
+        """Return when tokens were granted, and how many were used in the end."""
+        return [(at_ms, tokens) for at_ms, tokens in self.used]
+
+    def _step(self) -> None:
+        for vm, node in list(self.node_by_vm.items()):
+            if not node.paused:
+                self._run(vm, node)
+
+    def _run(self, vm: str, node: Node) -> None:
+        inbox, node.inbox = node.inbox, []
+        # A process that wakes takes what waits in its sockets before anything else.
+        for sender, message in inbox:
+            self._handle(vm, node, PeerSaid(vm=sender, message=message))
+        if node.reads_platform:
+            self._read(vm, node)
+        linked = {other for other in self.node_by_vm if other != vm and self._reach(vm, other)}
+        self._handle(vm, node, LinksChanged(linked=linked))
+        self._handle(vm, node, Ticked())
+
+    def _read(self, vm: str, node: Node) -> None:
+        self._handle(vm, node, EntriesChanged(entries=self.roster))
+        self._handle(vm, node, LeaseSeen(until_ms=self.now_ms + ACCESS_LEASE_MS))
+
+    def _reach(self, first: str, second: str) -> bool:
+        return frozenset((first, second)) not in self.cuts
+
+    def _handle(self, vm: str, node: Node, event: object) -> None:
+        for action in node.core.handle(event, self.now_ms):
+            self._act(vm, action, event)
+
+    def _act(self, vm: str, action: object, event: object) -> None:
+        if isinstance(action, Send):
+            self._send(vm, action)
+        elif isinstance(action, GrantTokens):
+            self._granted(vm, action, event)
+        else:
+            self.denied.append(action)
+
+    def _send(self, vm: str, action: Send) -> None:
+        if isinstance(action.message, Reserved):
+            self._debited_ms[action.vm, action.message.sequence] = self.now_ms
+        receiver = self.node_by_vm.get(action.vm)
+        if receiver is not None and self._reach(vm, action.vm):
+            receiver.inbox.append((vm, action.message))
+
+    def _granted(self, vm: str, action: GrantTokens, event: object) -> None:
+        """Count a grant at the moment when its tokens left the bucket."""
+        at_ms = self.now_ms
+        if isinstance(event, PeerSaid) and isinstance(event.message, Reserved):
+            at_ms = self._debited_ms[vm, event.message.sequence]
+        self.grants.append((vm, action))
+        self.used.append([at_ms, action.tokens])
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,238 @@
+"""Rate and burst over all entries, without shared state."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from skylarkrack.core import SHARE_HOLD_MS, Bucket, ShareSchedule, rendezvous_order
+from tests.budget_net import BURST, RATE, BudgetNet
+from tests.windows import excess_over_windows
+
+ENTRIES = ("e0", "e1", "e2")
+WARM_UP_MS = SHARE_HOLD_MS + 4000
+"""Time in which shares come into force and buckets fill."""
+
+# Values are few and coarse, so that runs meet the edges of the bounds often.
+bucket_steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("wait"), st.sampled_from((10, 500, 1500, 3000))),
+        st.tuples(st.just("take"), st.sampled_from((50, 150, 300))),
+        st.tuples(st.just("refund"), st.integers(0, 20), st.sampled_from((0.0, 0.5, 1.0))),
+    ),
+    min_size=20,
+    max_size=60,
+)
+
+entry = st.sampled_from(ENTRIES)
+faults = st.one_of(
+    st.tuples(st.just("refund"), st.integers(0, 50), st.sampled_from((0.0, 0.5))),
+    st.tuples(st.just("cut"), entry, entry),
+    st.tuples(st.just("heal")),
+    st.tuples(st.just("pause"), entry),
+    st.tuples(st.just("wake"), entry),
+    st.tuples(st.just("kill"), entry),
+    st.tuples(st.just("start"), entry),
+    st.tuples(st.just("blind"), entry),
+    st.tuples(st.just("publish"), st.sets(entry, min_size=1)),
+)
+# A round: a fault, some time, and then everybody asks for all there is.
+rounds = st.lists(
+    st.tuples(faults, st.sampled_from((50, 300, 1000, 2000, 4000, 9000)), st.booleans()),
+    min_size=5,
+    max_size=25,
+)
+
+
+def excess(net: BudgetNet) -> float:
+    """Return by how much the grants of *net* pass rate and burst."""
+    return excess_over_windows(net.uses(), rate=RATE, burst=BURST)
+
+
+class TestBucket(unittest.TestCase):
+    """A bucket with refunds never passes rate and burst in tokens really used."""
+
+    @settings(max_examples=400)
+    @given(bucket_steps)
+    def test_used_tokens_stay_within_every_window(self, steps: list) -> None:
+        bucket = Bucket(rate=100, capacity=300, now_ms=0)
+        now_ms, grants = 0.0, []
+        for kind, amount, *part in steps:
+            if kind == "wait":
+                now_ms += amount
+            elif kind == "take":
+                stamp = bucket.take(amount, now_ms=now_ms)
+                if stamp is not None:
+                    grants.append([now_ms, amount, stamp])
+            elif grants:
+                grant = grants[amount % len(grants)]
+                unused = int(grant[1] * part[0])
+                grant[1] -= unused
+                bucket.refund(unused, stamp=grant[2], now_ms=now_ms)
+        uses = [(at_ms, tokens) for at_ms, tokens, _ in grants]
+        self.assertLessEqual(excess_over_windows(uses, rate=100, burst=300), 0)
+
+    def test_refund_is_not_lost_where_it_is_due(self) -> None:
+        """A refund after a grant that emptied the bucket makes the unused tokens usable."""
+        bucket = Bucket(rate=100, capacity=300, now_ms=0)
+        bucket.advance(3000)
+        stamp = bucket.take(300, now_ms=3000)
+        bucket.refund(250, stamp=stamp, now_ms=3100)
+        self.assertIsNotNone(bucket.take(260, now_ms=3100))
+
+
+class TestShareSchedule(unittest.TestCase):
+    """A smaller share holds at once, a larger one after the hold."""
+
+    def test_a_larger_share_waits(self) -> None:
+        schedule = ShareSchedule(vm="e0")
+        schedule.observe({"e0", "e1"}, now_ms=0)
+        self.assertEqual(schedule.fraction(SHARE_HOLD_MS - 1), 0)
+        self.assertEqual(schedule.fraction(SHARE_HOLD_MS), 0.5)
+        schedule.observe({"e0", "e1", "e2", "e3"}, now_ms=10_000)
+        self.assertEqual(schedule.fraction(10_000), 0.25)
+        schedule.observe({"e0"}, now_ms=20_000)
+        self.assertEqual(schedule.fraction(20_000), 0.25)
+        self.assertEqual(schedule.fraction(20_000 + SHARE_HOLD_MS), 1)
+
+    def test_a_share_that_shrinks_again_while_it_waits(self) -> None:
+        schedule = ShareSchedule(vm="e0")
+        schedule.observe({"e0"}, now_ms=0)
+        schedule.observe({"e0", "e1"}, now_ms=1000)
+        self.assertEqual(schedule.fraction(SHARE_HOLD_MS), 0.5)
+
+
+class TestBudgetsOverAllEntries(unittest.TestCase):
+    """Grants of all entries together stay within rate and burst in every window."""
+
+    @settings(max_examples=120)
+    @given(rounds)
+    def test_any_faults_in_any_order(self, steps: list) -> None:
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        for (name, *arguments), wait_ms, squeezes in steps:
+            self._apply(net, name, arguments)
+            net.advance(wait_ms)
+            if squeezes:
+                net.squeeze()
+        net.advance(5000)
+        self.assertLessEqual(excess(net), 0)
+
+    def _apply(self, net: BudgetNet, name: str, arguments: list) -> None:
+        if name in ("refund", "cut", "heal", "kill"):
+            getattr(net, name)(*arguments)
+        elif name == "publish":
+            net.publish(*sorted(arguments[0]))
+        elif name == "start":
+            if arguments[0] not in net.node_by_vm:
+                net.start(arguments[0])
+        elif arguments[0] in net.node_by_vm:
+            node = net.node_by_vm[arguments[0]]
+            if name == "blind":
+                node.reads_platform = False
+            else:
+                node.paused = name == "pause"
+
+    def test_uneven_balancing_refuses_nobody(self) -> None:
+        """One entry alone can use the whole rate and burst while all is well."""
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.want("e1", 300)
+        net.advance(100)
+        for _ in range(20):
+            net.advance(1000)
+            net.want("e1", 95)
+        net.advance(1000)
+        self.assertEqual(net.denied, [])
+        self.assertEqual(len(net.grants), 21)
+
+    def test_every_entry_is_served_after_its_home_dies(self) -> None:
+        """The shares of the entries left are usable again once the pledges have ended."""
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.want("e0", 10)
+        net.advance(500)
+        home = net.node_by_vm["e0"].core.home_of("organisation/singers")
+        net.kill(home)
+        net.advance(3000)
+        before = len(net.grants)
+        for vm in set(ENTRIES) - {home}:
+            net.want(vm, 20)
+        net.advance(1000)
+        self.assertEqual(len(net.grants) - before, 2)
+        self.assertLessEqual(excess(net), 0)
+
+    def test_a_woken_home_does_not_use_its_larger_share_of_an_older_roster(self) -> None:
+        """It was paused while the roster grew; others already use what it has to give up."""
+        home, member, newcomer = self._by_preference()
+        net = BudgetNet(home, member)
+        net.advance(WARM_UP_MS)
+        net.want(member, 10)
+        net.advance(500)
+        net.node_by_vm[home].paused = True
+        net.publish(home, member, newcomer)
+        net.start(newcomer)
+        net.cut(home, member)
+        net.cut(home, newcomer)
+        net.advance(15_000)
+        net.want(member, 100)
+        net.want(newcomer, 100)
+        net.heal()
+        net.advance(50)
+        net.want(member, 140)
+        net.node_by_vm[home].paused = False
+        net.advance(500)
+        self.assertGreaterEqual(len(net.grants), 3)
+        self.assertLessEqual(excess(net), 0)
+
+    def test_a_new_home_waits_for_its_own_pledge_to_the_old_one_to_end(self) -> None:
+        """The old home, which has not seen the roster yet, may still use the pledged share."""
+        home, successor, _ = self._by_preference()
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.want(home, 10)
+        net.advance(3000)
+        net.node_by_vm[home].reads_platform = False
+        net.publish(*(set(ENTRIES) - {home}))
+        net.advance(50)
+        net.want(successor, 1)
+        net.advance(950)
+        net.want(home, 300)
+        net.want(successor, 30)
+        net.advance(50)
+        self.assertGreaterEqual(len(net.grants), 2)
+        self.assertLessEqual(excess(net), 0)
+
+    def test_a_larger_share_waits_for_who_has_not_seen_the_roster(self) -> None:
+        """An entry that left the roster spends its old share until its lease ends."""
+        home, member, leaver = self._by_preference()
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.cut(home, leaver)
+        net.cut(member, leaver)
+        net.want(home, 10)
+        net.advance(6000)
+        net.node_by_vm[leaver].reads_platform = False
+        net.publish(home, member)
+        net.advance(1500)
+        net.want(leaver, 95)
+        net.squeeze()
+        self.assertLessEqual(excess(net), 0)
+
+    def test_a_pledged_share_does_not_grow_at_its_owner(self) -> None:
+        """The owner begins empty when the pledge ends, for the home had what it grew by."""
+        home, member, _ = self._by_preference()
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.want(home, 10)
+        net.advance(5000)
+        net.cut(home, member)
+        net.advance(1000)
+        net.want(home, 290)
+        net.advance(700)
+        net.want(member, 90)
+        net.advance(500)
+        self.assertLessEqual(excess(net), 0)
+
+    def _by_preference(self) -> list[str]:
+        return rendezvous_order("organisation/singers", ENTRIES)
