--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements. They print figures and assert nothing."""
--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -18,7 +18,6 @@
     PROCESS_STARTED = 100
     PROCESS_STOPPING = 101
     PROCESS_STOPPED = 102
-    SETTINGS_REJECTED = 103
 
     LINK_UP = 200
     LINK_DOWN = 201
@@ -47,7 +46,6 @@
     WRONG_ECHO = 505
     CRASH_SUSPECTS = 506
 
-    ROSTER_CHANGED = 600
     DRAIN_STARTED = 601
 
 
--- a/src/skylarkrack/_lists.py
+++ b/src/skylarkrack/_lists.py
@@ -93,7 +93,7 @@
     open_to_all: bool = False
     methods: list[Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]] = ["GET", "POST"]
     repeatable: bool = True
-    repeat_window_s: int = Field(default=60, ge=0, le=86_400)
+    repeat_window_s: int = Field(default=60, ge=10, le=3600)
 
 
 class _StoreRow(_Table):
--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -34,7 +34,6 @@
     kind: Literal["engine", "service"]
     address: Address
     service: Name | None = None
-    checks_fencing: bool = False
 
 
 class LimitSettings(_Table):
@@ -44,7 +43,6 @@
     body_bytes: int = Field(default=2_097_152, ge=1024, le=16_777_216)
     read_timeout_ms: int = Field(default=10_000, ge=100, le=120_000)
     connections: int = Field(default=4096, ge=1, le=65_536)
-    request_timeout_ms: int = Field(default=120_000, ge=100, le=3_600_000)
 
 
 class Settings(_Table):
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -131,12 +131,20 @@
 
 
 class _Connection:
-    __slots__ = ("_h11", "_reader", "_writer")
+    """One connection, with one timer that drops it when a read waits too long.
+
+    A time-out of its own for each read would cost more than the read: there is one a token.
+    """
+
+    __slots__ = ("_h11", "_limit_s", "_reader", "_timer", "_waiting_since_s", "_writer")
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._h11 = h11.Connection(h11.CLIENT)
         self._reader = reader
         self._writer = writer
+        self._limit_s = 0.0
+        self._waiting_since_s: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def is_usable(self) -> bool:
@@ -162,11 +170,9 @@
         try:
             event = self._h11.next_event()
             while event is h11.NEED_DATA:
-                async with asyncio.timeout(timeout_ms / 1000):
-                    data = await self._reader.read(READ_BYTES)
-                self._h11.receive_data(data)
+                self._h11.receive_data(await self._read(timeout_ms / 1000))
                 event = self._h11.next_event()
-        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+        except (OSError, h11.RemoteProtocolError) as error:
             self.close()
             raise LinkLost(f"broken answer: {error!r}", sent=True) from error
         if isinstance(event, h11.ConnectionClosed):
@@ -174,6 +180,34 @@
             raise LinkLost("closed before the end", sent=True)
         return event
 
+    async def _read(self, limit_s: float) -> bytes:
+        """Return the next bytes; empty at the end, also where the timer has made it."""
+        loop = asyncio.get_running_loop()
+        self._waiting_since_s = loop.time()
+        if self._timer is None or limit_s < self._limit_s:
+            self._arm(loop, limit_s)
+        self._limit_s = limit_s
+        try:
+            return await self._reader.read(READ_BYTES)
+        finally:
+            self._waiting_since_s = None
+
+    def _arm(self, loop: asyncio.AbstractEventLoop, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_later(delay_s, self._check, loop)
+
+    def _check(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Drop the connection if the read under way has reached its limit, else look again."""
+        self._timer = None
+        if self._waiting_since_s is None or self._writer.transport.is_closing():
+            return
+        left_s = self._waiting_since_s + self._limit_s - loop.time()
+        if left_s > 0:
+            self._arm(loop, left_s)
+        else:
+            self._writer.transport.abort()
+
     def renew(self) -> bool:
         """Make the connection ready for another request; tell whether it can be."""
         try:
@@ -184,4 +218,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         self._writer.close()
--- a/src/skylarkrack/wire/_link.py
+++ b/src/skylarkrack/wire/_link.py
@@ -117,7 +117,7 @@
             await self._read()
         except FrameRejected as error:
             log(Event.FRAME_REJECTED, vm=self.vm, reason=str(error))
-        except (OSError, EOFError, TimeoutError):
+        except OSError:
             pass
         except Exception as error:  # noqa: BLE001 - a message's fault must not end the process
             log(Event.HANDLER_FAILED, server="link", vm=self.vm, error=repr(error))
@@ -129,8 +129,7 @@
 
     async def _read(self) -> None:
         while self.is_open:
-            async with asyncio.timeout(SILENCE_MS / 1000):
-                data = await self._reader.read(READ_BYTES)
+            data = await self._reader.read(READ_BYTES)
             if not data:
                 return
             self._heard_ms = monotonic_ms()
@@ -139,6 +138,9 @@
 
     async def _ping(self) -> None:
         while self.is_open:
+            if monotonic_ms() - self._heard_ms > SILENCE_MS:
+                self._writer.transport.abort()
+                return
             self._beat = _Heartbeat(self._beat.sequence + 1, monotonic_ms())
             self.send(Ping(sequence=self._beat.sequence))
             await asyncio.sleep(PING_MS / 1000)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -234,5 +234,19 @@
         net.advance(500)
         self.assertLessEqual(excess(net), 0)
 
+    def test_a_request_during_the_loss_of_the_home_waits_and_is_served(self) -> None:
+        """For the end of the pledge, and for the own share to grow by what it needs."""
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        net.want("e0", 10)
+        net.advance(500)
+        home = net.node_by_vm["e0"].core.home_of("organisation/singers")
+        net.kill(home)
+        for vm in set(ENTRIES) - {home}:
+            net.want(vm, 20)
+        net.advance(3000)
+        self.assertEqual(net.denied, [])
+        self.assertEqual(len(net.grants), 3)
+
     def _by_preference(self) -> list[str]:
         return rendezvous_order("organisation/singers", ENTRIES)
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,112 @@
+"""The command-line tool and the checks of files."""
+
+import hashlib
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from skylarkrack._errors import FileRejected
+from skylarkrack._settings import parse_settings
+from skylarkrack.ctl import Ctl
+from standins.run import bearer, chat
+from tests.shared_fleet import shared_fleet, wait_for
+
+EXAMPLES = Path("docs/examples")
+
+
+def run_ctl(*arguments: str) -> tuple[int, str, str]:
+    """Run `skylarkctl` as operators do; return exit code, output and errors."""
+    command = [sys.executable, "-m", "skylarkrack.ctl", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
+class TestFiles(unittest.TestCase):
+    """Files are checked whole, and every problem is told."""
+
+    def test_the_examples_are_good(self) -> None:
+        for name in ("lahore", "kenya"):
+            self.assertEqual(run_ctl("check_lists", str(EXAMPLES / name))[0], 0)
+        settings = [str(EXAMPLES / name) for name in ("entry.toml", "agent.toml")]
+        self.assertEqual(run_ctl("check_settings", *settings)[0], 0)
+
+    def test_every_problem_of_settings(self) -> None:
+        text = (
+            'role = "entri"\nvm = "a"\ndomian = "x"\nlisten = "host:1"\nplatform = "10.0.0.1:0"\n'
+        )
+        with self.assertRaises(FileRejected) as caught:
+            parse_settings(text, file="entry.toml")
+        told = "\n".join(str(problem) for problem in caught.exception.problems)
+        for part in (
+            "entry.toml: role: found 'entri'",
+            "did you mean 'domain'?",
+            "domain: found nothing",
+            "listen: found 'host:1'",
+            "platform: found '10.0.0.1:0'",
+            "status: found nothing",
+        ):
+            self.assertIn(part, told)
+
+    def test_a_wrong_file_never_starts_a_process(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "entry.toml"
+            path.write_text('role = "entry"\n')
+            command = [sys.executable, "-m", "skylarkrack.daemon", str(path)]
+            done = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("vm: found nothing", done.stderr)
+
+    def test_references_between_lists(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for path in (EXAMPLES / "lahore").iterdir():
+                (Path(folder) / path.name).write_text(path.read_text())
+            plans = Path(folder) / "plans.toml"
+            plans.write_text(plans.read_text().replace("plans.office", "plans.offices"))
+            code, _, errors = run_ctl("check_lists", folder)
+        self.assertEqual(code, 1)
+        self.assertIn("organisations.front-desk.plan: found 'office'", errors)
+
+    def test_a_key_and_its_digest(self) -> None:
+        told = Ctl().make_key("inspectors")
+        key = next(line for line in told.splitlines() if line.startswith("sk-"))
+        self.assertIn(hashlib.sha256(key.encode()).hexdigest(), told)
+        self.assertIn('organisation = "inspectors"', told)
+
+
+class TestProcesses(unittest.TestCase):
+    """What operators ask running processes."""
+
+    def test_state_explain_and_burn(self) -> None:
+        fleet = shared_fleet()
+        status = fleet.address("entry-0", "status")
+        _, headers, _ = wait_for(
+            fleet.call(
+                "entry-0",
+                "callers",
+                "POST",
+                "/v1/chat/completions",
+                chat("adapter-0"),
+                [bearer("singers")],
+            )
+        )
+        request_id = dict(headers)[b"x-request-id"].decode().rpartition(".")[0]
+        state = json.loads(run_ctl("state", status)[1])
+        self.assertTrue(state["configuration"]["access_lease_held"])
+        self.assertIn("agent-engine-0", state["endpoints"])
+        self.assertIn("offered", run_ctl("explain", status, request_id)[1])
+        self.assertIn("first_token", run_ctl("burn", status)[1])
+
+    def test_metrics_are_in_the_text_format(self) -> None:
+        fleet = shared_fleet()
+        call = fleet.call("entry-0", "callers", "GET", "/v1/models", b"", [bearer("singers")])
+        self.assertEqual(wait_for(call)[0], 200)
+        _, _, body = wait_for(fleet.call("entry-0", "status", "GET", "/metrics"))
+        self.assertRegex(body.decode(), r'skylarkrack_requests\{of="0"\} \d+')
+
+    def test_a_process_that_is_not_there(self) -> None:
+        code, _, errors = run_ctl("state", "127.0.0.1:9")
+        self.assertEqual(code, 1)
+        self.assertIn("no connection", errors)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -93,8 +93,8 @@
     Guard(
         name="pin-of-lost-run",
         file="core/_engine.py",
-        code="            running.lost = True",
-        without="            self._table.unpin(running.served)",
+        code="        running.lost = True\n",
+        without="        self._table.unpin(running.served)\n",
         test="tests.test_engine.TestEngineCore.test_a_run_whose_connection_broke_keeps_its_pin",
     ),
     Guard(
