Test the contract of each port against broken servers and the stand-ins

Found: closing a server left its connections' tasks to be cancelled by the end of the loop, which logged tracebacks; close now waits for them.

--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -157,16 +157,20 @@
             self._server.close()
         for connection in list(self._connections):
             connection.close_if_idle()
-        while self._connections:  # noqa: ASYNC110 - each connection ends by its own time-outs
-            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+        await self._until_empty()
 
     async def close(self) -> None:
-        """Close everything at once."""
+        """Close everything at once, and wait until every connection's task has ended."""
         self._is_closing = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.abort()
+        await self._until_empty()
+
+    async def _until_empty(self) -> None:
+        while self._connections:  # noqa: ASYNC110 - each connection ends by its own time-outs
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
 
     @property
     def is_closing(self) -> bool:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -165,7 +165,7 @@
     _pending: dict[str, dict[str, str]] = {}
 
     def _address(self, name: str, purpose: str) -> str:
-        address = f"{HOST}:{_free_port()}"
+        address = free_address()
         self._pending.setdefault(name, {})[purpose] = address
         return address
 
@@ -280,7 +280,8 @@
 _PORTS = itertools.cycle(range(20_000 + os.getpid() % 120 * 100, 32_000))
 
 
-def _free_port() -> int:
+def free_address() -> str:
+    """Return an address on loopback that nobody listens on."""
     for port in _PORTS:
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -288,7 +289,7 @@
                 probe.bind((HOST, port))
             except OSError:
                 continue
-            return port
+            return f"{HOST}:{port}"
     raise AssertionError("the ports do not end")
 
 
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,215 @@
+"""The contract of each port: what an outside system may do, and what the port makes of it."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from skylarkrack._errors import LinkLost, PlatformUnreachable
+from skylarkrack.ports import EnginePort, OrderAnswer, PlatformPort, ServicePort
+from standins.engine import Engine, EngineFaults
+from standins.fleet import free_address
+from standins.platform import Platform, PlatformFaults
+from standins.service import Service, ServiceFaults
+from tests.builders import call
+
+SILENT = None
+"""A server that accepts, reads, and never answers."""
+
+
+def http(status: int, body: bytes, *headers: str) -> bytes:
+    """Return an answer."""
+    lines = [f"HTTP/1.1 {status} x", f"content-length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def with_server(answer: bytes | None, use: Callable[[str], Awaitable]) -> object:
+    """Call *use* with the address of a server that gives *answer* and closes."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(65_536)
+        if answer is SILENT:
+            await reader.read()
+        else:
+            writer.write(answer)
+        writer.close()
+
+    address = free_address()
+    host, port = address.split(":")
+    async with await asyncio.start_server(serve, host, int(port)):
+        return await use(address)
+
+
+async def outcome(work: Awaitable) -> object:
+    """Return the result of *work*, or the kind of its error."""
+    try:
+        return await work
+    except (LinkLost, PlatformUnreachable) as error:
+        return type(error)
+
+
+BROKEN_ANSWERS = (
+    ("silent", SILENT),
+    ("closed at once", b""),
+    ("closed within the head", b"HTTP/1.1 200 x\r\ncontent-le"),
+    ("closed within the body", b"HTTP/1.1 200 x\r\ncontent-length: 90\r\n\r\n{"),
+    ("no HTTP", b"hello\r\n\r\n"),
+)
+
+
+class TestPlatformPort(unittest.TestCase):
+    """Every failure of the configuration service is `PlatformUnreachable`."""
+
+    def test_faults(self) -> None:
+        rows = (
+            *BROKEN_ANSWERS,
+            ("an error", http(500, b"{}")),
+            ("no JSON", http(200, b"{")),
+            ("JSON of another shape", http(200, b"[1]")),
+            ("revisions that are no numbers", http(200, b'{"revision": "x", "values": {}}')),
+            ("no values", http(200, b'{"revision": 1}')),
+        )
+
+        async def use(address: str) -> object:
+            port = PlatformPort(address)
+            found = await outcome(port.changes(after=0, wait_ms=0))
+            port.close()
+            return found
+
+        for name, answer in rows:
+            with self.subTest(name):
+                self.assertIs(asyncio.run(with_server(answer, use)), PlatformUnreachable)
+
+    def test_a_value_without_its_revision(self) -> None:
+        async def use(address: str) -> object:
+            return await outcome(PlatformPort(address).value("keys"))
+
+        for answer in (http(200, b"x"), http(200, b"x", "x-revision: -1"), http(404, b"")):
+            self.assertIs(asyncio.run(with_server(answer, use)), PlatformUnreachable)
+
+    def test_nobody_listens(self) -> None:
+        work = PlatformPort(free_address()).changes(after=0, wait_ms=0)
+        self.assertIs(asyncio.run(outcome(work)), PlatformUnreachable)
+
+    def test_the_stand_in(self) -> None:
+        """Changes are told with their revisions; an older platform tells an older revision."""
+
+        async def run() -> list:
+            platform, address = Platform(), free_address()
+            await platform.start(address)
+            port, found = PlatformPort(address), []
+            platform.publish("keys", b"old")
+            platform.publish("keys", b"new")
+            found.append(await port.changes(after=0, wait_ms=0))
+            found.append(await port.value("keys"))
+            platform.faults = PlatformFaults(stale_revision=1)
+            found.append(await port.changes(after=0, wait_ms=0))
+            found.append(await port.value("keys"))
+            platform.faults = PlatformFaults(down=True)
+            found.append(await outcome(port.changes(after=0, wait_ms=0)))
+            port.close()
+            await platform.close()
+            return found
+
+        newest, value, stale, older, down = asyncio.run(run())
+        self.assertEqual((newest.revision, newest.revision_by_name), (2, {"keys": 2}))
+        self.assertIsNotNone(newest.calendar_s)
+        self.assertEqual((value.revision, value.body), (2, b"new"))
+        self.assertEqual((stale.revision, older.body), (1, b"old"))
+        self.assertIs(down, PlatformUnreachable)
+
+
+class TestEnginePort(unittest.TestCase):
+    """A report is whole or `LinkLost`; an order is done, refused, or without an answer."""
+
+    def test_faults_of_the_report(self) -> None:
+        async def use(address: str) -> object:
+            return await outcome(EnginePort(address).status())
+
+        rows = (*BROKEN_ANSWERS, ("no JSON", http(200, b"{")), ("no fields", http(200, b"{}")))
+        for name, answer in rows:
+            with self.subTest(name):
+                self.assertIs(asyncio.run(with_server(answer, use)), LinkLost)
+
+    def test_ends_of_an_order(self) -> None:
+        """Only an answer tells that an order was not carried out, or a connection never made."""
+
+        async def use(address: str) -> object:
+            return await EnginePort(address).load("badge@1", fence=1)
+
+        rows = (
+            (http(200, b"{}"), OrderAnswer.DONE),
+            (http(409, b"{}"), OrderAnswer.REFUSED),
+            (http(503, b"{}"), OrderAnswer.NO_ANSWER),
+            (b"", OrderAnswer.NO_ANSWER),
+            (b"HTTP/1.1 200 x\r\ncontent-length: 90\r\n\r\n{", OrderAnswer.NO_ANSWER),
+        )
+        for answer, expected in rows:
+            with self.subTest(answer=answer):
+                self.assertIs(asyncio.run(with_server(answer, use)), expected)
+        unreachable = EnginePort(free_address()).load("badge@1", fence=1)
+        self.assertIs(asyncio.run(unreachable), OrderAnswer.REFUSED)
+
+    def test_the_stand_in(self) -> None:
+        """Loads, fencing, echo, the base model under an adapter's name, and a crash."""
+
+        async def run(checks_fencing: bool) -> list:
+            engine = Engine(faults=EngineFaults(checks_fencing=checks_fencing))
+            address = free_address()
+            await engine.start(address)
+            port, found = EnginePort(address), []
+            found.append(await port.load("badge@1", fence=5))
+            found.append(await port.unload("badge@1", fence=4))
+            found.append((await port.status()).resident)
+            body = b'{"model": "tender@1", "prompt": "Hi"}'
+            answer = await port.run(request_id="r1", path="/v1/completions", body=body, priority=0)
+            found.append(answer.served)
+            await answer.response.whole(timeout_ms=5000)
+            before = (await port.status()).incarnation
+            await engine.crash()
+            after = await port.status()
+            found.append((after.incarnation != before, after.resident))
+            port.close()
+            await engine.close()
+            return found
+
+        fenced, unfenced = asyncio.run(run(True)), asyncio.run(run(False))
+        self.assertEqual(fenced[:3], [OrderAnswer.DONE, OrderAnswer.REFUSED, {"badge@1"}])
+        self.assertEqual(unfenced[:3], [OrderAnswer.DONE, OrderAnswer.DONE, frozenset()])
+        self.assertEqual(fenced[3:], ["base", (True, frozenset())])
+
+
+class TestServicePort(unittest.TestCase):
+    """`LinkLost.sent` is False only if nothing can have reached the service."""
+
+    def test_faults(self) -> None:
+        async def use(address: str) -> bool | None:
+            port = ServicePort(address)
+            try:
+                response = await port.call(call("r1"))
+                await response.whole(timeout_ms=500)
+            except LinkLost as error:
+                return error.sent
+            return None
+
+        for name, answer in BROKEN_ANSWERS[1:]:
+            with self.subTest(name):
+                self.assertIs(asyncio.run(with_server(answer, use)), True)
+        self.assertIs(asyncio.run(use(free_address())), False)
+
+    def test_the_stand_in(self) -> None:
+        """Each call runs, also where its answer is lost."""
+
+        async def run() -> list:
+            service, address = Service(), free_address()
+            await service.start(address)
+            port, found = ServicePort(address), [await ServicePort(address).is_up()]
+            await (await port.call(call("r1"))).whole(timeout_ms=500)
+            service.faults = ServiceFaults(cut_after_run=True)
+            found.append(await outcome(port.call(call("r2"))))
+            found.append(service.runs_by_body["500"])
+            port.close()
+            await service.close()
+            found.append(await port.is_up())
+            return found
+
+        self.assertEqual(asyncio.run(run()), [True, LinkLost, 2, False])
