Add the load tool, routing and budget baselines, and what a request waited for

explain now tells what spoke for an endpoint and how long the request was queued there; agents have metrics; Ctrl-C at make run KEEP=1 reaches only the parent, which stops the rest as planned (before, the stand-ins ended at once and cut what was open).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 READY := .venv/ready
 
-.PHONY: run test lint bench clean
+.PHONY: run test lint bench measure clean
 
 run: $(READY)
 	$(BIN)/python -m standins.run $(if $(KEEP),keep)
@@ -20,6 +20,8 @@
 	$(BIN)/python -m bench.data_path
 	$(BIN)/python -m bench.control
 
+measure: $(READY)
+	$(BIN)/python -m bench.measure
 
 $(READY): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv .venv
--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -45,6 +45,13 @@
     connections: int = Field(default=4096, ge=1, le=65_536)
 
 
+class PolicySettings(_Table):
+    """Policies of an entry; all but the defaults are baselines to measure against."""
+
+    budgets: Literal["pooled", "split"] = "pooled"
+    routing: Literal["least_cost", "least_loaded", "hash_only"] = "least_cost"
+
+
 class Settings(_Table):
     """Settings of one daemon process; docs/OPERATING.md explains each key."""
 
@@ -57,6 +64,7 @@
     platform: Address
     endpoint: EndpointSettings | None = None
     limits: LimitSettings = LimitSettings()
+    policy: PolicySettings = PolicySettings()
     log_level: Literal["DEBUG", "INFO", "WARNING"] = "INFO"
 
     @model_validator(mode="after")
--- a/src/skylarkrack/agent/_agent.py
+++ b/src/skylarkrack/agent/_agent.py
@@ -57,22 +57,25 @@
         self._keeper = ConfigKeeper(
             vm=settings.vm, platform=platform, random=random, on_change=self._update
         )
-        self._side = self._build_side(settings.endpoint)
+        metrics = Metrics()
+        self._side = self._build_side(settings.endpoint, metrics)
         sources = StatusSources(
-            describe=self._describe, metrics=Metrics(), burn=BurnMeter(), traces=Traces()
+            describe=self._describe, metrics=metrics, burn=BurnMeter(), traces=Traces()
         )
         self._status = StatusServer(sources, limits=settings.limits)
 
-    def _build_side(self, endpoint: EndpointSettings) -> EndpointSide:
+    def _build_side(self, endpoint: EndpointSettings, metrics: Metrics) -> EndpointSide:
         vm, links = self._settings.vm, self._links
         if endpoint.kind == "engine":
-            return EngineSide(vm=vm, engine=EnginePort(endpoint.address), links=links)
+            engine = EnginePort(endpoint.address)
+            return EngineSide(vm=vm, engine=engine, links=links, metrics=metrics)
         return ServiceSide(
             name=endpoint.service or "",
             vm=vm,
             incarnation=self._incarnation,
             port=ServicePort(endpoint.address),
             links=links,
+            metrics=metrics,
         )
 
     async def start(self) -> None:
--- a/src/skylarkrack/agent/_engine_side.py
+++ b/src/skylarkrack/agent/_engine_side.py
@@ -8,6 +8,7 @@
 from skylarkrack._errors import Code, LinkLost, Outcome
 from skylarkrack._events import Event, log
 from skylarkrack._links import Links
+from skylarkrack._metrics import Metrics
 from skylarkrack.agent._usage import StreamTail, Usage, usage_of_body
 from skylarkrack.core import (
     AgentTicked,
@@ -75,6 +76,7 @@
         "_is_dirty",
         "_link_by_id",
         "_links",
+        "_metrics",
         "_model",
         "_permits",
         "_sequence",
@@ -83,10 +85,11 @@
         "_vm",
     )
 
-    def __init__(self, *, vm: str, engine: EnginePort, links: Links) -> None:
+    def __init__(self, *, vm: str, engine: EnginePort, links: Links, metrics: Metrics) -> None:
         self._vm = vm
         self._engine = engine
         self._links = links
+        self._metrics = metrics
         self._core = EngineCore()
         self._model = ""
         self._failures = 0
@@ -242,6 +245,7 @@
     @_act.register
     def _(self, action: StartRun) -> None:
         request_id = action.run.request_id
+        self._metrics.observe_ms("queued_ms", action.waited_ms)
         self._task_by_id[request_id] = self._spawn(self._run(action))
 
     @_act.register
@@ -305,7 +309,14 @@
         if answer.served != action.served or answer.incarnation != action.incarnation:
             raise _WrongAnswer
         link = self._link_by_id[run.request_id]
-        link.send(Head(request_id=run.request_id, status=200, headers=answer.response.headers))
+        link.send(
+            Head(
+                request_id=run.request_id,
+                status=200,
+                headers=answer.response.headers,
+                waited_ms=int(action.waited_ms),
+            )
+        )
         if run.stream:
             size, usage = await self._relay_stream(run, answer, link)
         else:
@@ -343,6 +354,8 @@
     def _finish(self, request_id: str, link: Link, size: int, usage: Usage) -> None:
         self._link_by_id.pop(request_id, None)
         self._task_by_id.pop(request_id, None)
+        self._metrics.count("runs_answered")
+        self._metrics.count("answer_tokens", amount=usage.answer_tokens)
         link.send(
             End(
                 request_id=request_id,
@@ -382,6 +395,7 @@
         """Tell the entry, once, that there will be no answer."""
         link = self._link_by_id.pop(request_id, None)
         if link is not None:
+            self._metrics.count("runs_failed", str(int(code)))
             link.send(
                 Failed(
                     request_id=request_id,
@@ -414,6 +428,7 @@
 
     async def _order(self, number: int, call: object) -> None:
         answer = await call
+        self._metrics.count("orders", answer.value)
         log(Event.LOAD_ENDED, order=number, answer=answer.value)
         if answer is OrderAnswer.NO_ANSWER:
             self._do(OrderTimedOut(number=number))
--- a/src/skylarkrack/agent/_service_side.py
+++ b/src/skylarkrack/agent/_service_side.py
@@ -6,6 +6,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, LinkLost, Outcome
 from skylarkrack._links import Links
+from skylarkrack._metrics import Metrics
 from skylarkrack.core import Catalogue, KeptAnswer, Ledger, RefuseRun, ReplayAnswer, StartCall
 from skylarkrack.messages import (
     Call,
@@ -42,6 +43,7 @@
         "_is_up",
         "_ledger",
         "_links",
+        "_metrics",
         "_name",
         "_port",
         "_reported",
@@ -51,11 +53,19 @@
     )
 
     def __init__(
-        self, *, name: str, vm: str, incarnation: str, port: ServicePort, links: Links
+        self,
+        *,
+        name: str,
+        vm: str,
+        incarnation: str,
+        port: ServicePort,
+        links: Links,
+        metrics: Metrics,
     ) -> None:
         self._name = name
         self._port = port
         self._links = links
+        self._metrics = metrics
         self._ledger = Ledger(vm=vm, incarnation=incarnation, now_ms=monotonic_ms())
         self._is_up = False
         self._is_draining = False
@@ -241,6 +251,7 @@
 
     async def _answer(self, call: Call) -> KeptAnswer:
         """Return the service's whole answer, or raise `LinkLost`."""
+        self._metrics.count("calls_sent")
         response = await self._port.call(call)
         body = await response.whole(timeout_ms=SERVICE_TIMEOUT_MS)
         return KeptAnswer(status=response.status, headers=tuple(response.headers), body=body)
--- a/src/skylarkrack/core/_actions.py
+++ b/src/skylarkrack/core/_actions.py
@@ -44,6 +44,7 @@
     run: object
     served: str
     incarnation: str
+    waited_ms: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkrack/core/_budget.py
+++ b/src/skylarkrack/core/_budget.py
@@ -138,12 +138,16 @@
 
 
 class BudgetCore:
-    """The decisions on all budgets in one entry: events and the time go in, actions come out."""
+    """The decisions on all budgets in one entry: events and the time go in, actions come out.
+
+    Without *is_pooled* each entry spends its own share only, a baseline to measure against.
+    """
 
     __slots__ = (
         "_asked_by_sequence",
         "_entries",
         "_held",
+        "_is_pooled",
         "_is_settled",
         "_lease_until_ms",
         "_limit_by_budget",
@@ -158,8 +162,9 @@
         "_vm",
     )
 
-    def __init__(self, *, vm: str) -> None:
+    def __init__(self, *, vm: str, is_pooled: bool = True) -> None:
         self._vm = vm
+        self._is_pooled = is_pooled
         self._lease_until_ms = float("-inf")
         self._schedule = ShareSchedule(vm=vm)
         self._entries: frozenset[str] = frozenset()
@@ -248,6 +253,8 @@
         if event.tokens > limit.burst:
             return [_deny(event.ticket, Code.LARGER_THAN_BURST, None)]
         home = self.home_of(event.budget)
+        if not self._is_pooled:
+            return self._take_own(event, now_ms)
         if home == self._vm:
             pool, actions = self._pool(event.budget, now_ms)
             pool.ask(self._vm, event, event.tokens, now_ms=now_ms)
--- a/src/skylarkrack/core/_engine.py
+++ b/src/skylarkrack/core/_engine.py
@@ -364,7 +364,12 @@
         self._table.pin(served, now_ms=now_ms)
         running = _Running(run=waiting.run, served=served, link=waiting.link)
         self._running_by_id[waiting.run.request_id] = running
-        return StartRun(run=waiting.run, served=served, incarnation=self._table.incarnation)
+        return StartRun(
+            run=waiting.run,
+            served=served,
+            incarnation=self._table.incarnation,
+            waited_ms=now_ms - waiting.offered_ms,
+        )
 
     def _next_order(self, now_ms: float) -> list:
         """Order an eviction or ask for a load, for the first request in turn that needs one."""
--- a/src/skylarkrack/core/_routing.py
+++ b/src/skylarkrack/core/_routing.py
@@ -114,6 +114,15 @@
         """Tell whether there is a report of *vm*."""
         return vm in self._view_by_vm
 
+    def why(self, vm: str, served: str) -> dict[str, object]:
+        """Return what spoke for *vm* when it was chosen, for `skylarkctl explain`."""
+        view = self._view_by_vm[vm]
+        return {
+            "resident": served in view.report.resident,
+            "occupied": view.occupied,
+            "capacity": view.report.capacity,
+        }
+
     def describe(self) -> dict[str, object]:
         """Return the state for `skylarkctl state`."""
         return {
--- a/src/skylarkrack/entry/_budgets.py
+++ b/src/skylarkrack/entry/_budgets.py
@@ -50,11 +50,10 @@
 class Budgets:
     """Reservations of this entry's requests, and this entry's part in every budget."""
 
-    __slots__ = ("_core", "_links", "_vm")
+    __slots__ = ("_core", "_links")
 
-    def __init__(self, *, vm: str, links: Links) -> None:
-        self._vm = vm
-        self._core = BudgetCore(vm=vm)
+    def __init__(self, *, vm: str, links: Links, is_pooled: bool) -> None:
+        self._core = BudgetCore(vm=vm, is_pooled=is_pooled)
         self._links = links
 
     # Queries
--- a/src/skylarkrack/entry/_exchange.py
+++ b/src/skylarkrack/entry/_exchange.py
@@ -24,6 +24,7 @@
         "_responder",
         "_result",
         "first_ms",
+        "waited_ms",
         "is_wanted",
         "request_id",
     )
@@ -31,6 +32,7 @@
     def __init__(self, *, request_id: str, link: Link, responder: Responder) -> None:
         self.request_id = request_id
         self.first_ms: float | None = None
+        self.waited_ms: int | None = None
         self.is_wanted = True
         self._link = link
         self._responder = responder
@@ -69,6 +71,7 @@
         if self._responder.has_started:
             self._truncated("a second head")
             return
+        self.waited_ms = message.waited_ms
         kept = [(bytes(name), bytes(value)) for name, value in message.headers]
         headers = [(name, value) for name, value in kept if name not in _HOP_HEADERS]
         headers.append((b"x-request-id", self.request_id.encode()))
--- a/src/skylarkrack/entry/_models.py
+++ b/src/skylarkrack/entry/_models.py
@@ -169,7 +169,9 @@
         link = context.links.of(vm)
         request_id = f"{trace.request_id}.{attempt}"
         is_suspect = context.suspicion.is_suspect(admitted.fingerprint, monotonic_ms())
-        trace.add("offered", vm=vm, suspect=is_suspect)
+        trace.add(
+            "offered", vm=vm, suspect=is_suspect, **context.router.why(vm, str(admitted.served))
+        )
         exchange = Exchange(request_id=request_id, link=link, responder=responder)
         opened = OpenExchange(
             exchange=exchange, link=link, is_granted=lambda: self._is_granted(admitted)
@@ -197,6 +199,8 @@
         )
 
     def _note_first(self, exchange: Exchange, trace: Trace) -> None:
+        if exchange.waited_ms is not None:
+            trace.add("started", queued_ms=exchange.waited_ms)
         if exchange.first_ms is not None:
             self._context.note_first_token(trace.started_ms, exchange.first_ms)
 
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -189,11 +189,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Head:
-    """Status and headers of an answer; sent once the agent has verified who answers."""
+    """Status and headers of an answer; sent once the agent has verified who answers.
+
+    *waited_ms* is how long the request was queued at the agent, loads included.
+    """
 
     request_id: str
     status: int
     headers: list
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -35,6 +35,8 @@
     domains: int = 2
     adapters: int = 6
     store_loads_per_second: float = 20.0
+    store_burst: int = 4
+    policy: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -129,7 +131,7 @@
     def start_entry(self, name: str, number: int) -> None:
         """Start an entry."""
         callers = self._address(name, "callers")
-        limits = f"[limits]\nread_timeout_ms = {READ_TIMEOUT_MS}\n"
+        limits = f"[limits]\nread_timeout_ms = {READ_TIMEOUT_MS}\n[policy]\n{self.shape.policy}"
         self._start_daemon(name, "entry", number, f'callers = "{callers}"\n{limits}', {})
 
     def restart(self, name: str) -> None:
@@ -157,7 +159,10 @@
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         command = [sys.executable, "-m", module, *arguments]
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
-        process = subprocess.Popen(command, stderr=self._log, stdout=self._log, env=environment)
+        # Ctrl-C at the terminal is for this process alone, which then stops the others in turn.
+        process = subprocess.Popen(
+            command, stderr=self._log, stdout=self._log, env=environment, start_new_session=True
+        )
         addresses = self.by_name[name].addresses if name in self.by_name else {}
         self.by_name[name] = Started(name=name, process=process, addresses=addresses)
         self.by_name[name].addresses |= self._pending.pop(name, {})
@@ -180,7 +185,7 @@
     async def publish_lists(self) -> None:
         """Publish the test lists."""
         await self.publish("vms", self.vms_toml())
-        await self.publish("routes", ROUTES.format(loads=self.shape.store_loads_per_second))
+        await self.publish("routes", self._routes())
         rows = "".join(
             f'[adapters.adapter-{n}]\nmodel = "{MODEL}"\nversions = [1, 2]\n'
             for n in range(self.shape.adapters)
@@ -190,6 +195,10 @@
         await self.publish("organisations", ORGANISATIONS)
         await self.publish_keys("singers", "bursars")
 
+    def _routes(self) -> str:
+        shape = self.shape
+        return ROUTES.format(loads=shape.store_loads_per_second, burst=shape.store_burst)
+
     async def publish_keys(self, *organisations: str) -> None:
         """Publish the test keys of these organisations, and no others."""
         rows = [
@@ -310,7 +319,7 @@
 
 [store]
 loads_per_second = {loads}
-burst_loads = 4
+burst_loads = {burst}
 """
 
 PLANS = """
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -196,6 +196,42 @@
         self.assertFalse(stream.is_whole)
         self.assertIn(b'"name": "truncated"', stream.received)
 
+    def test_an_engine_that_goes_silent_in_mid_stream(self) -> None:
+        """Its connection stays open; the answer is ended honestly all the same."""
+
+        async def run() -> Stream:
+            for name in ("engine-0", "engine-1"):
+                await self.fleet.faults(name, silent_after=3)
+            stream = await self.open_stream("entry-0")
+            await stream.rest()
+            for name in ("engine-0", "engine-1"):
+                await self.fleet.faults(name, silent_after=0)
+            return stream
+
+        stream = self.run_async(run())
+        self.assertFalse(stream.is_whole)
+        self.assertIn(b'"outcome": "unknown"', stream.received)
+
+    def test_a_vm_that_only_the_platform_calls_leaving(self) -> None:
+        """It gets no new work, though its agent does not know."""
+
+        async def run() -> int:
+            self.fleet.vms["agent-engine-0"]["state"] = "leaving"
+            await self.fleet.publish("vms", self.fleet.vms_toml())
+            await self.fleet.until(self._is_leaving)
+            before = (await self.fleet.stats("engine-0"))["runs"]
+            for _ in range(10):
+                await self.ask()
+            after = (await self.fleet.stats("engine-0"))["runs"]
+            del self.fleet.vms["agent-engine-0"]["state"]
+            await self.fleet.publish("vms", self.fleet.vms_toml())
+            return after - before
+
+        self.assertEqual(self.run_async(run()), 0)
+
+    async def _is_leaving(self) -> bool:
+        return (await self.fleet.state("entry-0"))["endpoints"]["agent-engine-0"]["leaving"]
+
     def test_a_request_that_crashes_engines(self) -> None:
         """It takes down two at the most, through whichever entry it is sent, and re-encoded."""
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -103,4 +103,6 @@
         request_id = dict(headers)[b"x-request-id"].decode().rpartition(".")[0]
         _, _, told = wait_for(fleet.call("entry-0", "status", "GET", f"/explain/{request_id}"))
         steps = [step["step"] for step in json.loads(told)["steps"]]
-        self.assertEqual(steps, ["received", "access", "reserved", "offered", "answered"])
+        self.assertEqual(
+            steps, ["received", "access", "reserved", "offered", "started", "answered"]
+        )
