Number budget messages and pools by incarnation; give events their own modules

Found by reading the budgets again: pools and messages were numbered from zero in each process. Ruled out as a cure: binding answers to links, since a home answers by VM name after a reconnect. Numbers now begin at the process's incarnation.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -84,7 +84,7 @@
 def home_core(budgets: int, members: int) -> BudgetCore:
     """Return the core of an entry with all shares in force."""
     names = {f"entry-{n}" for n in range(members)}
-    core = BudgetCore(vm=rendezvous_first("organisation/0", names))
+    core = BudgetCore(vm=rendezvous_first("organisation/0", names), incarnation=1)
     limits = {f"organisation/{n}": Limit(rate=1e6, burst=1e6) for n in range(budgets)}
     core.handle(LimitsChanged(limit_by_budget=limits), 0)
     core.handle(EntriesChanged(entries=names), 0)
--- a/src/skylarkrack/core/__init__.py
+++ b/src/skylarkrack/core/__init__.py
@@ -15,9 +15,8 @@
     TellSuspects,
 )
 from skylarkrack.core._bucket import Bucket
-from skylarkrack.core._budget import (
-    STORE_BUDGET,
-    BudgetCore,
+from skylarkrack.core._budget import STORE_BUDGET, BudgetCore
+from skylarkrack.core._budget_events import (
     EntriesChanged,
     LeaseSeen,
     Limit,
@@ -45,10 +44,10 @@
     still_granted,
 )
 from skylarkrack.core._configuration import Adopted, Configuration
-from skylarkrack.core._engine import (
+from skylarkrack.core._engine import EngineCore
+from skylarkrack.core._engine_events import (
     AgentTicked,
     DrainBegun,
-    EngineCore,
     EngineLost,
     EngineSeen,
     LinkGone,
--- a/src/skylarkrack/core/_budget.py
+++ b/src/skylarkrack/core/_budget.py
@@ -8,13 +8,23 @@
 within rate and burst through partitions, replaced processes, and processes that wake up late.
 """
 
-from collections.abc import Mapping, Set
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from skylarkrack._errors import Code
 from skylarkrack.core._actions import DenyTokens, GrantTokens, Send
 from skylarkrack.core._bucket import Bucket
+from skylarkrack.core._budget_events import (
+    EntriesChanged,
+    LeaseSeen,
+    Limit,
+    LimitsChanged,
+    LinksChanged,
+    PeerSaid,
+    Ticked,
+    TokensUnused,
+    TokensWanted,
+)
 from skylarkrack.core._hashing import rendezvous_first
 from skylarkrack.core._pool import MAX_WAIT_MS, Pool, PooledShare, Verdict
 from skylarkrack.core._shares import PLEDGE_LEASE_MS, PLEDGE_MARGIN_MS, ShareSchedule
@@ -39,78 +49,15 @@
 STORE_BUDGET = "store"
 """Name of the weight store's budget, counted in loads."""
 
+INCARNATION_SHIFT = 31
+"""Bits for the numbers that one incarnation uses."""
+
 FOREVER_MS = float("inf")
 
 OWN_SHARE = 0
 """Pool number of grants out of an entry's own share."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Limit:
-    """Rate a second and burst of one budget over the whole fleet."""
-
-    rate: float
-    burst: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LimitsChanged:
-    """The limits in force, by budget name."""
-
-    limit_by_budget: Mapping[str, Limit]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EntriesChanged:
-    """The roster of entries in force."""
-
-    entries: Set[str]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LinksChanged:
-    """The entries that this one has a live link to."""
-
-    linked: Set[str]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TokensWanted:
-    """A request of this process wants *tokens*; *ticket* names it in the answer."""
-
-    ticket: object
-    budget: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TokensUnused:
-    """A request is done and *tokens* of its grant are left over."""
-
-    grant: GrantTokens
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerSaid:
-    """A message about budgets came from the entry on *vm*."""
-
-    vm: str
-    message: object
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LeaseSeen:
-    """This process may act on its roster and limits until *until_ms*."""
-
-    until_ms: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Ticked:
-    """Time has passed."""
-
-
 @dataclass(slots=True, kw_only=True)
 class _Share:
     """This entry's own share of a budget, and to whom it is pledged."""
@@ -140,6 +87,9 @@
 class BudgetCore:
     """The decisions on all budgets in one entry: events and the time go in, actions come out.
 
+    *incarnation* is a number that no earlier process on this VM had. Pools and messages are
+    numbered from it, so that answers and refunds meant for an earlier process match nothing here.
+
     Without *is_pooled* each entry spends its own share only, a baseline to measure against.
     """
 
@@ -162,7 +112,7 @@
         "_vm",
     )
 
-    def __init__(self, *, vm: str, is_pooled: bool = True) -> None:
+    def __init__(self, *, vm: str, incarnation: int, is_pooled: bool = True) -> None:
         self._vm = vm
         self._is_pooled = is_pooled
         self._lease_until_ms = float("-inf")
@@ -172,12 +122,12 @@
         self._limit_by_budget: dict[str, Limit] = {}
         self._share_by_budget: dict[str, _Share] = {}
         self._pool_by_budget: dict[str, Pool] = {}
-        self._pool_count = 0
+        self._pool_count = incarnation << INCARNATION_SHIFT
         self._asked_by_sequence: dict[int, _Asked] = {}
         self._held: list[_Held] = []
         self._renewal_sent_ms: dict[int, float] = {}
         self._next_renewal_ms = 0.0
-        self._sequence = 0
+        self._sequence = incarnation << INCARNATION_SHIFT
         self._is_settled = False
 
     # Queries
--- a/src/skylarkrack/core/_engine.py
+++ b/src/skylarkrack/core/_engine.py
@@ -20,6 +20,19 @@
     TellSuspects,
 )
 from skylarkrack.core._catalogue import ServedName
+from skylarkrack.core._engine_events import (
+    AgentTicked,
+    DrainBegun,
+    EngineLost,
+    EngineSeen,
+    LinkGone,
+    OrderEnded,
+    OrderTimedOut,
+    PermitAnswered,
+    RunEnded,
+    RunLost,
+    RunOffered,
+)
 from skylarkrack.core._fair_queue import FairQueue, Waiting
 from skylarkrack.core._residency import MAX_LOAD_FAILURES, Order, ResidencyTable
 from skylarkrack.messages import Cancel, Run
@@ -37,87 +50,6 @@
 """How long a failed load keeps an adapter from being loaded again."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineSeen:
-    """The engine's own report. *running* maps the ids of its runs to the names they use."""
-
-    incarnation: str
-    slots: int
-    batch: int
-    resident: frozenset[str]
-    running: dict[str, str]
-    fence: int
-    busy: bool
-    asked_ms: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineLost:
-    """The engine does not answer, or its connections broke."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunOffered:
-    """An entry offers a request over *link*."""
-
-    run: Run
-    link: object
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunEnded:
-    """The engine confirmed the end of a run."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunLost:
-    """The connection of a run broke; the engine may still run it."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LinkGone:
-    """The link to an entry ended; nobody waits for its requests any more."""
-
-    link: object
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OrderEnded:
-    """The engine answered an order; *done* tells whether it was carried out."""
-
-    number: int
-    done: bool
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OrderTimedOut:
-    """The engine did not answer an order in time; it may still carry it out."""
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PermitAnswered:
-    """The weight store's budget answered a request for one load."""
-
-    granted: bool
-    retry_after_ms: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DrainBegun:
-    """The process is stopping: no new work, what is admitted is finished."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AgentTicked:
-    """Time has passed."""
-
-
 @dataclass(slots=True, kw_only=True)
 class _Running:
     run: Run
--- a/src/skylarkrack/entry/_budgets.py
+++ b/src/skylarkrack/entry/_budgets.py
@@ -27,6 +27,9 @@
 from skylarkrack.messages import LoadPermit, LoadPermitRequest
 from skylarkrack.wire import Link
 
+INCARNATION_DIGITS = 8
+"""Hexadecimal digits of the incarnation that number budget messages."""
+
 _MESSAGE_BY_CODE = {
     Code.RATE_EXCEEDED: "the organisation's tokens are used up for now",
     Code.LARGER_THAN_BURST: "the request is larger than the plan's burst; ask for fewer tokens",
@@ -52,8 +55,9 @@
 
     __slots__ = ("_core", "_links")
 
-    def __init__(self, *, vm: str, links: Links, is_pooled: bool) -> None:
-        self._core = BudgetCore(vm=vm, is_pooled=is_pooled)
+    def __init__(self, *, vm: str, incarnation: str, links: Links, is_pooled: bool) -> None:
+        number = int(incarnation[:INCARNATION_DIGITS], 16)
+        self._core = BudgetCore(vm=vm, incarnation=number, is_pooled=is_pooled)
         self._links = links
 
     # Queries
--- a/src/skylarkrack/entry/_entry.py
+++ b/src/skylarkrack/entry/_entry.py
@@ -72,7 +72,10 @@
             links=links,
             router=Router(policy=_ROUTING_BY_NAME[settings.policy.routing]),
             budgets=Budgets(
-                vm=settings.vm, links=links, is_pooled=settings.policy.budgets == "pooled"
+                vm=settings.vm,
+                incarnation=incarnation,
+                links=links,
+                is_pooled=settings.policy.budgets == "pooled",
             ),
             exchanges=Exchanges(),
             tickets=Tickets(),
--- a/tests/budget_net.py
+++ b/tests/budget_net.py
@@ -55,6 +55,7 @@
         self.denied: list[DenyTokens] = []
         self._debited_ms: dict[tuple[str, int], float] = {}
         self._tickets = 0
+        self._incarnation = 0
         for name in names:
             self.start(name)
 
@@ -62,7 +63,9 @@
 
     def start(self, vm: str) -> None:
         """Start a new process on *vm*, in place of any that was there."""
-        node = self.node_by_vm[vm] = Node(core=BudgetCore(vm=vm))
+        self._incarnation += 1
+        core = BudgetCore(vm=vm, incarnation=self._incarnation)
+        node = self.node_by_vm[vm] = Node(core=core)
         limits = {BUDGET: Limit(rate=RATE, burst=BURST)}
         self._handle(vm, node, LimitsChanged(limit_by_budget=limits))
         self._read(vm, node)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,7 +5,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from skylarkrack.core import SHARE_HOLD_MS, Bucket, ShareSchedule, rendezvous_order
+from skylarkrack.core import (
+    SHARE_HOLD_MS,
+    Bucket,
+    BudgetCore,
+    EntriesChanged,
+    LeaseSeen,
+    Limit,
+    LimitsChanged,
+    LinksChanged,
+    PeerSaid,
+    ShareSchedule,
+    TokensWanted,
+    rendezvous_order,
+)
+from skylarkrack.messages import Reserved
 from tests.budget_net import BURST, RATE, BudgetNet
 from tests.windows import excess_over_windows
 
@@ -248,5 +262,44 @@
         self.assertEqual(net.denied, [])
         self.assertEqual(len(net.grants), 3)
 
+    def test_a_refund_of_a_grant_by_an_earlier_process_is_dropped(self) -> None:
+        """The new process on the home's VM begins empty, and owes nothing of before."""
+        home, member, _ = self._by_preference()
+        net = BudgetNet(*ENTRIES)
+        net.advance(WARM_UP_MS)
+        for _ in range(10):
+            net.want(member, 1)
+        net.want(member, 100)
+        net.advance(100)
+        net.kill(home)
+        net.advance(2000)
+        net.start(home)
+        net.advance(WARM_UP_MS)
+        net.want(member, 10)
+        net.advance(5000)
+        net.want(home, 300)
+        net.refund(10, 0.0)
+        net.advance(100)
+        net.want(home, 90)
+        net.advance(100)
+        self.assertLessEqual(excess(net), 0)
+
+    def test_an_answer_to_an_earlier_process_is_not_taken(self) -> None:
+        """A home answers a reservation of a process whose successor waits for another."""
+        home = next(n for n in "abcdefgh" if rendezvous_order("b", (n, "e1"))[0] == n)
+        earlier, core = BudgetCore(vm="e1", incarnation=1), BudgetCore(vm="e1", incarnation=2)
+        for event in (
+            LimitsChanged(limit_by_budget={"b": Limit(rate=1, burst=100)}),
+            EntriesChanged(entries={home, "e1"}),
+            LeaseSeen(until_ms=1e9),
+            LinksChanged(linked={home}),
+        ):
+            earlier.handle(event, 0)
+            core.handle(event, 0)
+        (asked,) = earlier.handle(TokensWanted(ticket="old", budget="b", tokens=1), 0)
+        core.handle(TokensWanted(ticket="new", budget="b", tokens=90), 0)
+        late = Reserved(sequence=asked.message.sequence, pool=1, stamp=1)
+        self.assertEqual(core.handle(PeerSaid(vm=home, message=late), 10), [])
+
     def _by_preference(self) -> list[str]:
         return rendezvous_order("organisation/singers", ENTRIES)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -252,4 +252,18 @@
         without="if not",
         test="tests.test_offers.TestOffers.test_an_answer_that_is_not_whole_is_never_ended",
     ),
+    Guard(
+        name="pools-numbered-by-incarnation",
+        file="core/_budget.py",
+        code="self._pool_count = incarnation << INCARNATION_SHIFT",
+        without="self._pool_count = 0",
+        test=_CLASS + "test_a_refund_of_a_grant_by_an_earlier_process_is_dropped",
+    ),
+    Guard(
+        name="messages-numbered-by-incarnation",
+        file="core/_budget.py",
+        code="self._sequence = incarnation << INCARNATION_SHIFT",
+        without="self._sequence = 0",
+        test=_CLASS + "test_an_answer_to_an_earlier_process_is_not_taken",
+    ),
 )
