--- a/src/skylarkrack/core/_budget.py
+++ b/src/skylarkrack/core/_budget.py
@@ -13,7 +13,6 @@
 
 from skylarkrack._errors import Code
 from skylarkrack.core._actions import DenyTokens, GrantTokens, Send
-from skylarkrack.core._bucket import Bucket
 from skylarkrack.core._budget_events import (
     EntriesChanged,
     LeaseSeen,
@@ -26,6 +25,7 @@
     TokensWanted,
 )
 from skylarkrack.core._hashing import rendezvous_first
+from skylarkrack.core._member_share import MemberShare
 from skylarkrack.core._pool import MAX_WAIT_MS, Pool, PooledShare, Verdict
 from skylarkrack.core._shares import PLEDGE_LEASE_MS, PLEDGE_MARGIN_MS, ShareSchedule
 from skylarkrack.messages import (
@@ -52,21 +52,10 @@
 INCARNATION_SHIFT = 31
 """Bits for the numbers that one incarnation uses."""
 
-FOREVER_MS = float("inf")
-
 OWN_SHARE = 0
 """Pool number of grants out of an entry's own share."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Share:
-    """This entry's own share of a budget, and to whom it is pledged."""
-
-    bucket: Bucket
-    pledged_to: str | None = None
-    pledged_until_ms: float = 0.0
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Asked:
     """A reservation sent to a home."""
@@ -120,7 +109,7 @@
         self._entries: frozenset[str] = frozenset()
         self._linked: frozenset[str] = frozenset()
         self._limit_by_budget: dict[str, Limit] = {}
-        self._share_by_budget: dict[str, _Share] = {}
+        self._share_by_budget: dict[str, MemberShare] = {}
         self._pool_by_budget: dict[str, Pool] = {}
         self._pool_count = incarnation << INCARNATION_SHIFT
         self._asked_by_sequence: dict[int, _Asked] = {}
@@ -152,7 +141,7 @@
         share, pool = self._share_by_budget[budget], self._pool_by_budget.get(budget)
         return {
             "home": self.home_of(budget),
-            "pledged_to": share.pledged_to if share.pledged_until_ms > now_ms else None,
+            "pledged_to": share.pledged_to if share.pledged_ms(now_ms) else None,
             "pool_level": round(pool.level(now_ms)) if pool else None,
             "pool_capacity": round(pool.capacity(now_ms)) if pool else None,
         }
@@ -168,8 +157,7 @@
     def _(self, event: LimitsChanged, now_ms: float) -> list:
         self._limit_by_budget = dict(event.limit_by_budget)
         for budget in self._limit_by_budget.keys() - self._share_by_budget.keys():
-            bucket = Bucket(rate=0, capacity=0, now_ms=now_ms)
-            self._share_by_budget[budget] = _Share(bucket=bucket)
+            self._share_by_budget[budget] = MemberShare(now_ms=now_ms)
         self._reshape_shares(now_ms)
         actions = []
         for budget in self._pool_by_budget.keys() - self._limit_by_budget.keys():
@@ -315,34 +303,18 @@
         for budget, limit in self._limit_by_budget.items():
             rate, capacity = limit.rate * fraction, limit.burst * fraction
             share = self._share_by_budget[budget]
-            share.bucket.reshape(rate=rate, capacity=capacity, now_ms=now_ms)
+            share.reshape(rate=rate, capacity=capacity, now_ms=now_ms)
             pool = self._pool_by_budget.get(budget)
             if pool is not None:
-                self._pool_own_share(pool, share, now_ms)
-
-    def _pool_own_share(self, pool: Pool, share: _Share, now_ms: float) -> None:
-        """Add this home's own share to its pool, once no earlier home can use it any more."""
-        if share.pledged_until_ms > now_ms:
-            return
-        own = PooledShare(
-            rate=share.bucket.rate, capacity=share.bucket.capacity, until_ms=FOREVER_MS
-        )
-        tokens = share.bucket.empty(now_ms=now_ms)
-        share.bucket.restart(FOREVER_MS)
-        pool.pledge(self._vm, own, tokens, now_ms=now_ms)
+                share.join(pool, self._vm, now_ms=now_ms)
 
     def _pledge(self, budget: str, home: str, now_ms: float) -> list:
-        """Pledge this entry's share to *home*, unless another has it or does so no more."""
+        """Pledge this entry's share to *home* if that is the budget's home here as well."""
         share = self._share_by_budget.get(budget)
         if share is None or budget in self._pool_by_budget or self.home_of(budget) != home:
             return []
-        if share.pledged_until_ms > now_ms and share.pledged_to != home:
-            return []
-        tokens = 0.0 if share.pledged_until_ms > now_ms else share.bucket.empty(now_ms=now_ms)
-        share.pledged_to = home
-        share.pledged_until_ms = now_ms + PLEDGE_LEASE_MS + PLEDGE_MARGIN_MS
-        share.bucket.restart(share.pledged_until_ms)
-        return [[budget, share.bucket.rate, share.bucket.capacity, tokens]]
+        pledged = share.pledge(home, now_ms=now_ms)
+        return [[budget, *pledged]] if pledged is not None else []
 
     def _take_own(self, wanted: TokensWanted, now_ms: float) -> list:
         """Take from this entry's own share, after the end of any pledge."""
@@ -357,11 +329,10 @@
         share = self._share_by_budget.get(wanted.budget)
         if share is None:
             return [_deny(wanted.ticket, Code.PLAN_LAPSED, None)]
-        pledged_ms = max(0.0, share.pledged_until_ms - now_ms)
-        stamp = None if pledged_ms else share.bucket.take(wanted.tokens, now_ms=now_ms)
+        stamp = share.take(wanted.tokens, now_ms=now_ms)
         if stamp is not None:
             return [_grant(wanted, source=self._vm, pool=OWN_SHARE, stamp=stamp)]
-        wait_ms = pledged_ms + share.bucket.wait_ms(wanted.tokens, now_ms=now_ms)
+        wait_ms = share.wait_ms(wanted.tokens, now_ms=now_ms)
         if now_ms + wait_ms <= held.deadline_ms:
             self._held.append(held)
             return []
@@ -412,7 +383,7 @@
             return pool, []
         self._pool_count += 1
         pool = self._pool_by_budget[budget] = Pool(number=self._pool_count, now_ms=now_ms)
-        self._pool_own_share(pool, self._share_by_budget[budget], now_ms)
+        self._share_by_budget[budget].join(pool, self._vm, now_ms=now_ms)
         return pool, self._request_pledges([budget], now_ms)
 
     def _renew(self, now_ms: float) -> list:
@@ -453,10 +424,7 @@
     def _close_pool(self, budget: str, now_ms: float) -> list:
         """Close a pool and keep what fits this entry's own share; the rest is dropped."""
         pool = self._pool_by_budget.pop(budget)
-        share = self._share_by_budget[budget]
-        if share.pledged_until_ms <= now_ms:
-            share.bucket.restart(now_ms)
-            share.bucket.put(pool.level(now_ms), now_ms=now_ms)
+        self._share_by_budget[budget].leave(pool, now_ms=now_ms)
         return self._answer(pool, pool.close())
 
     def _settle(self, budget: str, now_ms: float) -> list:
@@ -494,7 +462,7 @@
         if refund.pool == OWN_SHARE:
             share = self._share_by_budget.get(refund.budget)
             if share is not None:
-                share.bucket.refund(refund.tokens, stamp=refund.stamp, now_ms=now_ms)
+                share.refund(refund.tokens, stamp=refund.stamp, now_ms=now_ms)
             return []
         pool = self._pool_by_budget.get(refund.budget)
         if pool is None or pool.number != refund.pool:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -34,8 +34,8 @@
     ),
     Guard(
         name="pledged-share-suspended",
-        file="core/_budget.py",
-        code="share.bucket.restart(share.pledged_until_ms)",
+        file="core/_member_share.py",
+        code="self._bucket.restart(self._pledged_until_ms)",
         without="pass",
         test=_CLASS + "test_a_pledged_share_does_not_grow_at_its_owner",
     ),
@@ -48,11 +48,9 @@
     ),
     Guard(
         name="own-share-after-pledge",
-        file="core/_budget.py",
-        code="""        if share.pledged_until_ms > now_ms:
-            return
-        own =""",
-        without="        own =",
+        file="core/_member_share.py",
+        code="            return\n        bucket = self._bucket",
+        without="            pass\n        bucket = self._bucket",
         test=_CLASS + "test_a_new_home_waits_for_its_own_pledge_to_the_old_one_to_end",
     ),
     Guard(
@@ -220,7 +218,7 @@
         name="hold-for-own-share",
         file="core/_budget.py",
         code="if now_ms + wait_ms <= held.deadline_ms:",
-        without="if pledged_ms:",
+        without="if share.pledged_ms(now_ms):",
         test=_CLASS + "test_a_request_during_the_loss_of_the_home_waits_and_is_served",
     ),
     Guard(
