Say "not run" of a keyed call only where the key's home knows it

Found by reading: an order that had run, sent again while its home drained, was down, did not get its confirmation, or after its caller's key was withdrawn, was answered "not run", and a caller who believes that orders again. Cause: refusals told of the request in hand and not of the call under its key; the agent refused before it looked into its ledger. Change: the agent answers a known key whatever else is wrong, and says "not run" of an unknown one only with the certainty that a start needs; an entry says "unknown" of keyed calls where the home did not speak. Errors of the request itself (1xxx) stay "not run".

--- a/src/skylarkrack/_errors.py
+++ b/src/skylarkrack/_errors.py
@@ -115,7 +115,8 @@
     """Raised when a caller's request gets an error instead of an answer.
 
     *retry_after_ms* is set where waiting helps; *ticket* where the caller may send a new
-    non-idempotent call at once under that ticket.
+    non-idempotent call at once under that ticket. *by_agent* marks an agent's own word, which
+    takes earlier uses of an idempotency key into account.
     """
 
     def __init__(
@@ -126,11 +127,13 @@
         outcome: Outcome = Outcome.NOT_RUN,
         retry_after_ms: int | None = None,
         ticket: str | None = None,
+        by_agent: bool = False,
     ) -> None:
         super().__init__(message, code=code)
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
         self.ticket = ticket
+        self.by_agent = by_agent
 
 
 class FileRejected(SkylarkrackError):
--- a/src/skylarkrack/core/_ledger.py
+++ b/src/skylarkrack/core/_ledger.py
@@ -94,6 +94,18 @@
         """Return a ticket that binds keys to this incarnation."""
         return f"{self._vm}~{self._incarnation}~{self._period(now_ms)}"
 
+    def knows(self, call: Call) -> bool:
+        """Tell whether a call under this key was started here."""
+        return (call.organisation, call.idempotency_key) in self._record_by_key
+
+    def outcome_unless_started(self, call: Call, now_ms: float) -> Outcome:
+        """Return what is certain of a keyed call that is refused without being started.
+
+        Its key may have been used before, so "not run" needs the same certainty as a start.
+        """
+        is_new = not self.knows(call) and self._is_certainly_new(call, now_ms)
+        return Outcome.NOT_RUN if is_new else Outcome.UNKNOWN
+
     def __len__(self) -> int:
         return len(self._record_by_key)
 
@@ -143,18 +155,23 @@
     def _refusal(self, call: Call, now_ms: float) -> RefuseRun | None:
         if len(self._record_by_key) >= MAX_RECORDS:
             return RefuseRun(
-                request_id=call.request_id, code=Code.QUEUE_FULL, retry_after_ms=TICKET_PERIOD_MS
+                request_id=call.request_id,
+                code=Code.QUEUE_FULL,
+                outcome=self.outcome_unless_started(call, now_ms),
+                retry_after_ms=TICKET_PERIOD_MS,
             )
-        if call.ticket:
-            is_certain = self._honours(call.ticket, now_ms)
-        else:
-            is_certain = self._has_been_home(call, now_ms)
-        if is_certain:
+        if self._is_certainly_new(call, now_ms):
             return None
         return RefuseRun(
             request_id=call.request_id, code=Code.MAY_HAVE_RUN, outcome=Outcome.UNKNOWN
         )
 
+    def _is_certainly_new(self, call: Call, now_ms: float) -> bool:
+        """Tell whether no other process can have run a call that has no record here."""
+        if call.ticket:
+            return self._honours(call.ticket, now_ms)
+        return self._has_been_home(call, now_ms)
+
     def _honours(self, ticket: str, now_ms: float) -> bool:
         owner = f"{self._vm}~{self._incarnation}~"
         period = ticket.removeprefix(owner)
--- a/src/skylarkrack/core/_routing.py
+++ b/src/skylarkrack/core/_routing.py
@@ -106,14 +106,6 @@
         usable = self._usable(views, ())
         return sorted(usable, key=lambda vm: (views[vm].occupied, vm))
 
-    def takes_work(self, vm: str) -> bool:
-        """Tell whether *vm* is linked, ready and not leaving."""
-        return bool(self._usable({vm: self._view_by_vm[vm]}, ())) if self.knows(vm) else False
-
-    def knows(self, vm: str) -> bool:
-        """Tell whether there is a report of *vm*."""
-        return vm in self._view_by_vm
-
     def why(self, vm: str, served: str) -> dict[str, object]:
         """Return what spoke for *vm* when it was chosen, for `skylarkctl explain`."""
         view = self._view_by_vm[vm]
@@ -159,7 +151,8 @@
 
     def observe_offer(self, vm: str) -> None:
         """Count a request offered since the last report."""
-        self._view_by_vm[vm].offered += 1
+        if vm in self._view_by_vm:
+            self._view_by_vm[vm].offered += 1
 
     def forget(self, vm: str) -> None:
         """The link to an agent ended."""
--- a/src/skylarkrack/entry/_exchange.py
+++ b/src/skylarkrack/entry/_exchange.py
@@ -105,6 +105,7 @@
                 outcome=Outcome(message.outcome),
                 retry_after_ms=retry_after_ms,
                 ticket=message.ticket or None,
+                by_agent=True,
             )
         )
 
--- a/src/skylarkrack/entry/_front.py
+++ b/src/skylarkrack/entry/_front.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import HTTP_STATUS_BY_CODE, Code, RequestRefused
+from skylarkrack._errors import HTTP_STATUS_BY_CODE, Code, Outcome, RequestRefused
 from skylarkrack._events import Event, log
 from skylarkrack._traces import Trace
 from skylarkrack.core import access_of, may_use
@@ -16,6 +16,7 @@
 
 _BEARER = "bearer "
 _FLEET_FAULT_STATUS = 500
+_FIRST_CODE_OF_ACCESS = 2000
 
 
 class Front:
@@ -40,7 +41,7 @@
         try:
             await self._serve(request, responder, trace)
         except RequestRefused as error:
-            refusal = error
+            refusal = _truthful(error, request)
             trace.add("error", code=int(error.code), outcome=str(error.outcome))
             write_refusal(responder, error, request_id=trace.request_id)
         finally:
@@ -108,6 +109,20 @@
             )
 
 
+def _truthful(refusal: RequestRefused, request: Request) -> RequestRefused:
+    """Return *refusal* without a "not run" that only the home of an idempotency key could know.
+
+    The same call may have run when it was sent before. What is wrong with the request itself was
+    wrong then as well.
+    """
+    is_keyed = request.header(b"idempotency-key") is not None
+    is_of_request = refusal.code < _FIRST_CODE_OF_ACCESS
+    says_not_run = refusal.outcome is Outcome.NOT_RUN and not refusal.by_agent
+    if is_keyed and says_not_run and not is_of_request:
+        refusal.outcome = Outcome.UNKNOWN
+    return refusal
+
+
 def _digest_of(request: Request) -> str | None:
     """Return the digest of the caller's key; the key itself goes no further than this."""
     value = request.header(b"authorization")
--- a/src/skylarkrack/entry/_services.py
+++ b/src/skylarkrack/entry/_services.py
@@ -99,7 +99,7 @@
         tried again.
         """
         vm = self._home(call)
-        if vm is None or not self._context.router.takes_work(vm):
+        if vm is None:
             raise _no_endpoint()
         await self._offer(call, vm, digest, name, responder, trace)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -297,6 +297,48 @@
             self.assertEqual(answer["error"]["outcome"], "unknown")
         self.assertEqual(self.run_async(self.runs_of("30 books")), 1)
 
+    def test_a_repeat_while_the_home_is_down(self) -> None:
+        """The order ran, and nobody who is left knows: that is not "not run"."""
+
+        async def run() -> dict:
+            ticket = await self.ticket()
+            agent = ticket.partition("~")[0]
+            await self.order("k7", b"3 boards", ticket=ticket)
+            self.fleet.signal(agent, signal.SIGKILL)
+
+            async def is_gone() -> bool:
+                return agent not in (await self.fleet.state("entry-1"))["links"]
+
+            await self.fleet.until(is_gone)
+            _, answer = await self.order("k7", b"3 boards", entry="entry-1", ticket=ticket)
+            self.fleet.restart(agent)
+            await self.until_whole()
+            return answer
+
+        self.assertEqual(self.run_async(run())["error"]["outcome"], "unknown")
+
+    def test_a_repeat_with_a_key_that_has_been_withdrawn(self) -> None:
+        """The refusal is of the key, and still must not say that the order did not run."""
+
+        async def run() -> dict:
+            ticket = await self.ticket()
+            await self.order("k8", b"8 lamps", ticket=ticket)
+            await self.fleet.publish_keys("bursars")
+
+            async def is_refused() -> bool:
+                return (await self.order("k8", b"8 lamps", ticket=ticket))[0] == 401
+
+            await self.fleet.until(is_refused)
+            _, answer = await self.order("k8", b"8 lamps", ticket=ticket)
+            await self.fleet.publish_keys("singers", "bursars")
+            await self.fleet.until(self._works)
+            return answer
+
+        self.assertEqual(self.run_async(run())["error"]["outcome"], "unknown")
+
+    async def _works(self) -> bool:
+        return all([(await self.ask(entry=e))[0] == 200 for e in ("entry-0", "entry-1")])
+
     def test_a_service_that_cannot_be_reached(self) -> None:
         """It accepts and breaks the connection: nobody can know, and nobody tries again."""
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -264,4 +264,18 @@
         without="self._sequence = 0",
         test=_CLASS + "test_an_answer_to_an_earlier_process_is_not_taken",
     ),
+    Guard(
+        name="not-run-of-a-key",
+        file="entry/_front.py",
+        code="        refusal.outcome = Outcome.UNKNOWN",
+        without="        pass",
+        test="tests.test_faults.TestOrdersUnderFaults.test_a_repeat_while_the_home_is_down",
+    ),
+    Guard(
+        name="ledger-before-refusing",
+        file="agent/_service_side.py",
+        code="        if self._ledger.knows(call):\n            return None\n",
+        without="",
+        test="tests.test_service_side.TestTruthOfRefusals.test_a_repeat_while_draining",
+    ),
 )
