Make one piece of what stood twice: tasks of a part, carrying out an offer

Found by reading the whole change: both endpoint sides held the same code for background tasks, and the two request services the same steps of one offer (register, send, wait, tell the agent if the answer is not wanted). They are Tasks and Exchanges.carry_out now. The task of a run was dropped in three places and kept for good after an engine's error or a truncated answer; _run now drops it in one. Behaviour is otherwise as it was, but for one thing: an offer that is refused because access has just ended is counted in the router's view until the agent's next report. make test: 142 passed, 0 failed; make lint clean. Left: the orders and permits in _engine_side.py are a second job in that file.

--- a/src/skylarkrack/agent/_engine_side.py
+++ b/src/skylarkrack/agent/_engine_side.py
@@ -9,6 +9,7 @@
 from skylarkrack._events import Event, log
 from skylarkrack._links import Links
 from skylarkrack._metrics import Metrics
+from skylarkrack._tasks import Tasks
 from skylarkrack.agent._usage import StreamTail, Usage, usage_of_body
 from skylarkrack.core import (
     AgentTicked,
@@ -97,19 +98,18 @@
         self._is_dirty = True
         self._link_by_id: dict[str, Link] = {}
         self._task_by_id: dict[str, asyncio.Task] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = Tasks()
         self._permits: dict[int, asyncio.Future] = {}
         self._sequence = itertools.count(1)
 
     async def start(self) -> None:
         """Begin to watch the engine."""
-        self._spawn(self._watch())
-        self._spawn(self._tick())
+        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._tick())
 
     async def close(self) -> None:
         """End everything at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.close()
         self._engine.close()
 
     async def drain(self) -> None:
@@ -247,26 +247,28 @@
     def _(self, action: StartRun) -> None:
         request_id = action.run.request_id
         self._metrics.observe_ms("queued_ms", action.waited_ms)
-        self._task_by_id[request_id] = self._spawn(self._run(action))
+        self._task_by_id[request_id] = self._tasks.spawn(self._run(action))
 
     @_act.register
     def _(self, action: StopRun) -> None:
-        self._spawn(self._stop(action.request_id))
+        self._tasks.spawn(self._stop(action.request_id))
 
     @_act.register
     def _(self, action: AskPermit) -> None:
-        self._spawn(self._ask_permit())
+        self._tasks.spawn(self._ask_permit())
 
     @_act.register
     def _(self, action: OrderLoad) -> None:
         log(Event.LOAD_ORDERED, served=action.served, order=action.order)
-        self._spawn(self._order(action.order, self._engine.load(action.served, fence=action.order)))
+        self._tasks.spawn(
+            self._order(action.order, self._engine.load(action.served, fence=action.order))
+        )
 
     @_act.register
     def _(self, action: OrderUnload) -> None:
         log(Event.EVICTED, served=action.served, order=action.order)
         call = self._engine.unload(action.served, fence=action.order)
-        self._spawn(self._order(action.order, call))
+        self._tasks.spawn(self._order(action.order, call))
 
     @_act.register
     def _(self, action: TellSuspects) -> None:
@@ -303,6 +305,8 @@
         except Exception as error:  # noqa: BLE001 - a fault here must not leave a pin behind
             log(Event.HANDLER_FAILED, server="engine", error=repr(error))
             self._lose_run(run.request_id, Code.ENDPOINT_LOST, Outcome.UNKNOWN)
+        finally:
+            self._task_by_id.pop(run.request_id, None)
 
     async def _relay(self, action: StartRun, answer: EngineAnswer) -> None:
         """Relay an answer once the engine's own word shows that the right adapter gives it."""
@@ -357,7 +361,6 @@
 
     def _finish(self, request_id: str, link: Link, size: int, usage: Usage) -> None:
         self._link_by_id.pop(request_id, None)
-        self._task_by_id.pop(request_id, None)
         self._metrics.count("runs_answered")
         self._metrics.count("answer_tokens", amount=usage.answer_tokens)
         link.send(
@@ -375,9 +378,8 @@
         """Give up a run whose end the engine has not confirmed; it may run on, or have crashed."""
         self._do(RunLost(request_id=request_id, may_have_crashed=may_have_crashed))
         self._fail(request_id, code, outcome)
-        self._task_by_id.pop(request_id, None)
-        self._spawn(self._read_status())
-        self._spawn(self._engine.cancel(request_id))
+        self._tasks.spawn(self._read_status())
+        self._tasks.spawn(self._engine.cancel(request_id))
 
     async def _stop(self, request_id: str) -> None:
         """Cancel a run until its own answer has ended, which is the engine's word for its end.
@@ -440,9 +442,3 @@
             self._do(OrderTimedOut(number=number))
         else:
             self._do(OrderEnded(number=number, done=answer is OrderAnswer.DONE))
-
-    def _spawn(self, coroutine: object) -> asyncio.Task:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/src/skylarkrack/agent/_service_side.py
+++ b/src/skylarkrack/agent/_service_side.py
@@ -7,6 +7,7 @@
 from skylarkrack._errors import Code, LinkLost, Outcome
 from skylarkrack._links import Links
 from skylarkrack._metrics import Metrics
+from skylarkrack._tasks import Tasks
 from skylarkrack.core import Catalogue, KeptAnswer, Ledger, RefuseRun, ReplayAnswer, StartCall
 from skylarkrack.messages import (
     Call,
@@ -73,16 +74,15 @@
         self._reported: EndpointReport | None = None
         self._confirm_by_id: dict[str, asyncio.Future] = {}
         self._task_by_id: dict[str, asyncio.Task] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = Tasks()
 
     async def start(self) -> None:
         """Begin to watch the service."""
-        self._spawn(self._watch())
+        self._tasks.spawn(self._watch())
 
     async def close(self) -> None:
         """End everything at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.close()
         self._port.close()
 
     async def drain(self) -> None:
@@ -134,7 +134,7 @@
             _fail(link, message.request_id, refusal, self._outcome_unless_started(message))
             return
         self._running += 1
-        self._task_by_id[message.request_id] = self._spawn(self._serve(message, link))
+        self._task_by_id[message.request_id] = self._tasks.spawn(self._serve(message, link))
 
     @_hear.register
     def _(self, message: Cancel, link: Link) -> None:
@@ -280,12 +280,6 @@
         for link in self._links.all_of("entry"):
             link.send(report)
 
-    def _spawn(self, coroutine: object) -> asyncio.Task:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _send_answer(link: Link, request_id: str, answer: KeptAnswer) -> None:
     headers = [list(pair) for pair in answer.headers]
--- a/src/skylarkrack/entry/_exchanges.py
+++ b/src/skylarkrack/entry/_exchanges.py
@@ -5,7 +5,7 @@
 
 from skylarkrack._errors import Code, Outcome, RequestRefused
 from skylarkrack.entry._exchange import Exchange
-from skylarkrack.messages import Cancel, Confirm
+from skylarkrack.messages import Call, Cancel, Confirm, End, Run
 from skylarkrack.wire import Link
 
 
@@ -29,13 +29,28 @@
     def __len__(self) -> int:
         return len(self._open_by_id)
 
-    def add(self, opened: OpenExchange) -> None:
+    async def carry_out(self, opened: OpenExchange, message: Run | Call) -> End:
+        """Send *message* and return the end of its whole answer, or raise `RequestRefused`.
+
+        The agent is told if the answer is no longer wanted.
+        """
+        self._add(opened)
+        is_whole = False
+        try:
+            opened.link.send(message)
+            end = await opened.exchange.result()
+            is_whole = True
+            return end
+        finally:
+            self._end(opened, is_whole=is_whole)
+
+    def _add(self, opened: OpenExchange) -> None:
         """Register an exchange before its request is sent; raise if access has ended since."""
         if not opened.is_granted():
             raise RequestRefused("access has ended", code=Code.ACCESS_WITHDRAWN)
         self._open_by_id[opened.exchange.request_id] = opened
 
-    def end(self, opened: OpenExchange, *, is_whole: bool) -> None:
+    def _end(self, opened: OpenExchange, *, is_whole: bool) -> None:
         """Drop an exchange, and tell the agent if the answer is no longer wanted."""
         request_id = opened.exchange.request_id
         if self._open_by_id.pop(request_id, None) is not None and not is_whole:
--- a/src/skylarkrack/entry/_models.py
+++ b/src/skylarkrack/entry/_models.py
@@ -176,17 +176,13 @@
         opened = OpenExchange(
             exchange=exchange, link=link, is_granted=lambda: self._is_granted(admitted)
         )
-        context.exchanges.add(opened)
-        is_whole = False
+        context.router.observe_offer(vm)
         try:
-            context.router.observe_offer(vm)
-            link.send(_run_message(admitted, request_id, is_suspect))
-            end = await exchange.result()
-            is_whole = True
+            return await context.exchanges.carry_out(
+                opened, _run_message(admitted, request_id, is_suspect)
+            )
         finally:
-            context.exchanges.end(opened, is_whole=is_whole)
             self._note_first(exchange, trace)
-        return end
 
     def _is_granted(self, admitted: _Admitted) -> bool:
         context = self._context
--- a/src/skylarkrack/entry/_services.py
+++ b/src/skylarkrack/entry/_services.py
@@ -165,16 +165,8 @@
             link=link,
             is_granted=lambda: self._is_granted(name, digest, call.organisation),
         )
-        context.exchanges.add(opened)
-        is_whole = False
-        try:
-            context.router.observe_offer(vm)
-            link.send(call)
-            end = await exchange.result()
-            is_whole = True
-            return end
-        finally:
-            context.exchanges.end(opened, is_whole=is_whole)
+        context.router.observe_offer(vm)
+        return await context.exchanges.carry_out(opened, call)
 
     def _is_granted(self, name: str, digest: str | None, organisation: str) -> bool:
         if not self._context.may_act():
