--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -48,6 +48,32 @@
 
     DRAIN_STARTED = 601
 
+    RELAY_ENDED = 700
+    RELAY_REFUSED = 701
+    RELAY_RETRIED = 702
+    RELAY_WAITED = 703
+    RELAY_BROKEN = 704
+    CALLER_LEFT = 705
+
+    TABLE_ADOPTED = 710
+    TABLE_REJECTED = 711
+    ENDPOINT_SEEN = 712
+    ENDPOINT_GONE = 713
+    ENTRY_REJECTED = 714
+    VERSION_ANNOUNCED = 715
+    REGISTRY_LOST = 716
+    REGISTRY_BACK = 717
+    HISTORY_LOST = 718
+    STORE_REPLY_BAD = 719
+
+    MEMBER_SEEN = 720
+    DATAGRAM_REJECTED = 721
+    ORDER_SENT = 722
+    ORDER_ANSWERED = 723
+    REPORT_FAILED = 724
+    SETTINGS_RELOADED = 725
+    LINES_DROPPED = 726
+
 
 def log(event: Event, **fields: object) -> None:
     """Write one event with its fields."""
@@ -55,8 +81,8 @@
     logger.bind(event=int(event)).info("{} {} {}", int(event), event.name, body)
 
 
-def open_log(*, vm: str, level: str = "INFO") -> None:
-    """Send the process's log to standard error, one event a line."""
+def open_log(*, vm: str, level: str = "INFO", sink: object = sys.stderr) -> None:
+    """Send the process's log to *sink*, one event a line."""
     logger.remove()
     pattern = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} " + vm + " {message}"
-    logger.add(sys.stderr, level=level, format=pattern, diagnose=False, backtrace=False)
+    logger.add(sink, level=level, format=pattern, diagnose=False, backtrace=False, catch=False)
--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -9,6 +9,7 @@
 
 from skylarkrack._errors import Code, FileRejected
 from skylarkrack._problems import Problem, problems_of
+from skylarkrack.web import ServerLimits
 
 
 def _is_address(value: str) -> str:
@@ -44,6 +45,10 @@
     read_timeout_ms: int = Field(default=10_000, ge=100, le=120_000)
     connections: int = Field(default=4096, ge=1, le=65_536)
 
+    def for_server(self) -> ServerLimits:
+        """Return the bounds as the server takes them; idle connections have the same time."""
+        return ServerLimits(**self.model_dump(), idle_timeout_ms=self.read_timeout_ms)
+
 
 class PolicySettings(_Table):
     """Policies of an entry; all but the defaults are baselines to measure against."""
@@ -91,9 +96,3 @@
 def read_settings(path: str) -> Settings:
     """Read and check the settings file at *path*."""
     return parse_settings(Path(path).read_text(encoding="utf-8"), file=path)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of a checked `IP:port`."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/src/skylarkrack/_status.py
+++ b/src/skylarkrack/_status.py
@@ -8,9 +8,8 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, RequestRefused
 from skylarkrack._metrics import Metrics
-from skylarkrack._settings import LimitSettings
 from skylarkrack._traces import Traces
-from skylarkrack.web import HttpServer, Request, Responder
+from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
 
 _JSON = [(b"content-type", b"application/json")]
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -31,7 +30,7 @@
 
     __slots__ = ("_server", "_sources")
 
-    def __init__(self, sources: StatusSources, *, limits: LimitSettings) -> None:
+    def __init__(self, sources: StatusSources, *, limits: ServerLimits) -> None:
         self._sources = sources
         self._server = HttpServer(self._handle, refuse=_refuse, limits=limits, name="status")
 
--- a/src/skylarkrack/agent/_agent.py
+++ b/src/skylarkrack/agent/_agent.py
@@ -62,7 +62,7 @@
         sources = StatusSources(
             describe=self._describe, metrics=metrics, burn=BurnMeter(), traces=Traces()
         )
-        self._status = StatusServer(sources, limits=settings.limits)
+        self._status = StatusServer(sources, limits=settings.limits.for_server())
 
     def _build_side(self, endpoint: EndpointSettings, metrics: Metrics) -> EndpointSide:
         vm, links = self._settings.vm, self._links
--- a/src/skylarkrack/core/_configuration.py
+++ b/src/skylarkrack/core/_configuration.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-
-from pydantic import BaseModel
+from typing import TYPE_CHECKING
 
 from skylarkrack._errors import FileRejected
 from skylarkrack.messages import Value
 
+if TYPE_CHECKING:  # the parsed types need a library that a relay's start can't afford
+    from pydantic import BaseModel
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Adopted:
@@ -25,7 +27,7 @@
     seen_revision: int = 0
     good_revision: int = 0
     body: bytes = b""
-    parsed: BaseModel | None = None
+    parsed: "BaseModel | None" = None
 
 
 class Configuration:
@@ -37,7 +39,7 @@
 
     __slots__ = ("_held_by_name", "_parse", "revision")
 
-    def __init__(self, *, parse: Callable[[str, bytes], BaseModel]) -> None:
+    def __init__(self, *, parse: "Callable[[str, bytes], BaseModel]") -> None:
         self._parse = parse
         self._held_by_name: dict[str, _Held] = {}
         self.revision = 0
@@ -56,7 +58,7 @@
             if revision > self._held(name).seen_revision
         ]
 
-    def parsed_by_name(self) -> dict[str, BaseModel]:
+    def parsed_by_name(self) -> "dict[str, BaseModel]":
         """Return the values in force."""
         return {n: held.parsed for n, held in self._held_by_name.items() if held.parsed is not None}
 
--- a/src/skylarkrack/core/_retry_budget.py
+++ b/src/skylarkrack/core/_retry_budget.py
@@ -10,14 +10,24 @@
 class RetryBudget:
     """Retries that an entry may still make; it starts with a few and earns more by requests."""
 
-    __slots__ = ("_saved",)
+    __slots__ = ("_most", "_saved")
 
-    def __init__(self) -> None:
-        self._saved = MAX_SAVED
+    def __init__(self, most: float = MAX_SAVED) -> None:
+        self._most = most
+        self._saved = most
+
+    def set_most(self, most: float) -> None:
+        """Bound what can be saved up."""
+        self._most = most
+        self._saved = min(self._saved, most)
+
+    def has_left(self) -> bool:
+        """Tell whether a retry could be taken."""
+        return self._saved >= 1
 
     def earn(self) -> None:
         """Count a request."""
-        self._saved = min(MAX_SAVED, self._saved + RETRY_FRACTION)
+        self._saved = min(self._most, self._saved + RETRY_FRACTION)
 
     def spend(self) -> bool:
         """Take one retry, if there is one; tell whether it was taken."""
--- /dev/null
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -0,0 +1,77 @@
+"""Decisions of the relaying entry and of the agent that orders an engine's adapters."""
+
+from skylarkrack.core.relay._call import Call, ModelNeed
+from skylarkrack.core.relay._directory import RETURN_GRACE_MS, Directory, Endpoint
+from skylarkrack.core.relay._dispatch import (
+    AdapterPublished,
+    Decision,
+    Dispatcher,
+    EngineHeard,
+    SendTo,
+    TablePublished,
+    Ticket,
+    TurnAway,
+    WaitFor,
+)
+from skylarkrack.core.relay._health import Health
+from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._membership import Contact, Membership
+from skylarkrack.core.relay._places import (
+    EngineOrder,
+    EngineReport,
+    OrderKind,
+    OrderResult,
+    Places,
+)
+from skylarkrack.core.relay._table import (
+    CallerLimits,
+    EngineShape,
+    Member,
+    ModelShape,
+    Quota,
+    Route,
+    RoutingTable,
+    Service,
+    by_host,
+    digest_of_key,
+)
+from skylarkrack.core.relay._usage import Usage
+
+__all__ = [
+    "RETURN_GRACE_MS",
+    "AdapterPublished",
+    "Call",
+    "CallerLimits",
+    "Contact",
+    "Decision",
+    "Directory",
+    "Dispatcher",
+    "Endpoint",
+    "EngineHeard",
+    "EngineOrder",
+    "EngineReport",
+    "EngineShape",
+    "EngineState",
+    "Health",
+    "Load",
+    "Member",
+    "Membership",
+    "ModelNeed",
+    "ModelShape",
+    "OrderKind",
+    "OrderResult",
+    "Places",
+    "Places",
+    "Quota",
+    "Route",
+    "RoutingTable",
+    "SendTo",
+    "Service",
+    "TablePublished",
+    "Ticket",
+    "TurnAway",
+    "Usage",
+    "WaitFor",
+    "by_host",
+    "digest_of_key",
+]
--- /dev/null
+++ b/src/skylarkrack/core/relay/_call.py
@@ -0,0 +1,45 @@
+"""One caller's request, as the decisions see it."""
+
+from dataclasses import dataclass
+
+OUTPUT_TOKEN_COST = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelNeed:
+    """What a request needs of an engine.
+
+    *prefix* lists the parts of the prompt in order, as (id, tokens); *output_tokens* is the most
+    that may be generated.
+    """
+
+    model: str
+    adapter: str | None
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def tokens(self) -> int:
+        """Prompt and longest answer together."""
+        return self.prompt_tokens + self.output_tokens
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """A caller's attempt: *arrived_ms* on the process's clock, *patience_ms* as the caller says.
+
+    *resume_after* is the last event that the caller has seen of this stream.
+    """
+
+    request_id: str
+    arrived_ms: float
+    patience_ms: float | None
+    need: ModelNeed | None = None
+    has_token_count: bool = False
+    resume_after: str | None = None
+
+    def ends_ms(self, timeout_ms: float) -> float:
+        """Return when the final answer is due: the caller's or the route's limit, the sooner."""
+        limit = timeout_ms if self.patience_ms is None else min(self.patience_ms, timeout_ms)
+        return self.arrived_ms + limit
--- /dev/null
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -0,0 +1,269 @@
+"""The decisions of an entry about requests: which endpoint, wait for what, or refuse at once."""
+
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from skylarkrack._errors import Code
+from skylarkrack.core.relay._call import Call, ModelNeed
+from skylarkrack.core.relay._directory import Directory, Endpoint
+from skylarkrack.core.relay._health import Health
+from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._placement import Beliefs, Candidate, candidates
+from skylarkrack.core.relay._table import Route, RoutingTable
+
+Key = tuple[str, int]
+
+MAX_KEPT = 100
+"""Adapters that an engine is taken to keep a copy of after they were evicted."""
+
+RETRY_SOON_MS = 500.0
+"""When a caller may come back to an entry that has no endpoint for it yet."""
+
+SHORTEST_RUN_PART = 0.1
+"""Part of a route's objective below which no run can end; a request with less left is refused."""
+
+PREFER_READY_MS = 60.0
+"""What an endpoint that takes the request now may cost more than one to be waited for."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request on its way to an endpoint. *tried* are incarnations that did not take it."""
+
+    call: Call
+    route: Route
+    service_name: str
+    priority: int
+    ends_ms: float
+    organisation: str | None = None
+    tried: set[Key] = field(default_factory=set)
+    waits_at: Key | None = None
+
+    @property
+    def need(self) -> ModelNeed | None:
+        """What the request needs of an engine; None for a plain request."""
+        return self.call.need
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Who goes first: the more urgent route, then the one that is due sooner."""
+        return self.priority, self.call.arrived_ms + self.route.objective_ms
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendTo:
+    """Send the request to *endpoint*, which holds *version* of the adapter."""
+
+    endpoint: Endpoint
+    version: int | None
+    cost_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitFor:
+    """Wait until the endpoint *key* holds the adapter or has room."""
+
+    key: Key
+    cost_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TurnAway:
+    """Refuse the request, which has not run."""
+
+    code: Code
+    reason: str
+    retry_after_ms: float
+
+
+Decision = SendTo | WaitFor | TurnAway
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TablePublished:
+    """A configuration was read; an older one than is held changes nothing."""
+
+    table: RoutingTable
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdapterPublished:
+    """A version of an adapter was announced."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineHeard:
+    """The agent beside the engine *key* told its state."""
+
+    key: Key
+    state: EngineState
+
+
+class Dispatcher:
+    """What an entry believes of the fleet, the requests that wait, and where they go."""
+
+    __slots__ = (
+        "_kept_by_address",
+        "_state_by_key",
+        "_version_by_adapter",
+        "_waiting",
+        "directory",
+        "domain",
+        "health",
+        "load",
+        "table",
+    )
+
+    def __init__(self, *, domain: str) -> None:
+        self.domain = domain
+        self.table: RoutingTable | None = None
+        self.directory = Directory()
+        self.health = Health()
+        self.load = Load()
+        self._kept_by_address: dict[str, dict[tuple[str, str], None]] = {}
+        self._state_by_key: dict[Key, EngineState] = {}
+        self._version_by_adapter: dict[tuple[str, str], int] = {}
+        self._waiting: list[Ticket] = []
+
+    # Queries
+
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def newest_version(self, need: ModelNeed) -> int:
+        """Return the newest announced version of the adapter, or 0."""
+        return self._version_by_adapter.get((need.model, need.adapter or ""), 0)
+
+    def decide(self, ticket: Ticket, now_ms: float) -> Decision:
+        """Decide about one request."""
+        service = self.table.service_by_name.get(ticket.service_name)
+        endpoints = self.directory.of_service(ticket.service_name)
+        if service is None or not endpoints:
+            return TurnAway(
+                code=Code.NO_ENDPOINT, reason="no endpoint", retry_after_ms=RETRY_SOON_MS
+            )
+        untried = [endpoint for endpoint in endpoints if endpoint.key not in ticket.tried]
+        ranked = candidates(untried or endpoints, service, ticket.need, self._beliefs(now_ms))
+        return self._choose(ticket, ranked, now_ms)
+
+    def wanted_at(self, key: Key) -> dict[tuple[str, str], tuple[int, int]]:
+        """Return what waits for the engine *key*: (model, adapter) to (urgency, requests)."""
+        wanted: dict[tuple[str, str], tuple[int, int]] = {}
+        for ticket in self._waiting:
+            if ticket.waits_at != key or ticket.need is None:
+                continue
+            name = (ticket.need.model, ticket.need.adapter or "")
+            urgency, count = wanted.get(name, (ticket.priority, 0))
+            wanted[name] = (min(urgency, ticket.priority), count + 1)
+        return wanted
+
+    # Commands
+
+    @singledispatchmethod
+    def observe(self, event: object) -> bool:
+        """Take an event; tell whether it changed what is believed."""
+        raise TypeError(f"unknown event {event!r}")
+
+    @observe.register
+    def _(self, event: TablePublished) -> bool:
+        if self.table is not None and event.table.version <= self.table.version:
+            return False
+        self.table = event.table
+        return True
+
+    @observe.register
+    def _(self, event: AdapterPublished) -> bool:
+        name = (event.model, event.adapter)
+        if event.version <= self._version_by_adapter.get(name, 0):
+            return False
+        self._version_by_adapter[name] = event.version
+        return True
+
+    @observe.register
+    def _(self, event: EngineHeard) -> bool:
+        before = self._state_by_key.get(event.key)
+        self._state_by_key[event.key] = event.state
+        self._note_kept(event.key[0], event.state)
+        return before is None or before.resident != event.state.resident
+
+    def wait(self, ticket: Ticket, decision: WaitFor) -> None:
+        """Let a request wait as decided."""
+        ticket.waits_at = decision.key
+        self._waiting.append(ticket)
+
+    def leave(self, ticket: Ticket) -> None:
+        """Take a request out that waits no more."""
+        ticket.waits_at = None
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def next_ready(self, now_ms: float) -> tuple[Ticket, SendTo | TurnAway] | None:
+        """Take out the first waiting request that can be sent or has to be refused now."""
+        for ticket in sorted(self._waiting, key=lambda ticket: ticket.order):
+            decision = self.decide(ticket, now_ms)
+            if isinstance(decision, WaitFor):
+                ticket.waits_at = decision.key
+                continue
+            self.leave(ticket)
+            return ticket, decision
+        return None
+
+    def missing(self, key: Key, need: ModelNeed) -> None:
+        """Take an engine's word that it does not hold the adapter."""
+        state = self._state_by_key.get(key)
+        if state is not None:
+            state.resident.pop((need.model, need.adapter or ""), None)
+
+    def forget_gone(self) -> None:
+        """Drop what is known of incarnations that are gone."""
+        keys = {endpoint.key for endpoint in self.directory.all()}
+        self.health.keep_only(keys)
+        for key in set(self._state_by_key) - keys:
+            del self._state_by_key[key]
+
+    def _note_kept(self, address: str, state: EngineState) -> None:
+        """Note what the engine holds: it keeps a copy of it for some time, also over a restart."""
+        kept = self._kept_by_address.setdefault(address, {})
+        for name in state.resident:
+            kept.pop(name, None)
+            kept[name] = None
+        while len(kept) > MAX_KEPT:
+            del kept[next(iter(kept))]
+
+    def _beliefs(self, now_ms: float) -> Beliefs:
+        wanted: dict[Key, set[tuple[str, str]]] = {}
+        for ticket in self._waiting:
+            if ticket.need is not None and ticket.waits_at is not None:
+                name = (ticket.need.model, ticket.need.adapter or "")
+                wanted.setdefault(ticket.waits_at, set()).add(name)
+        return Beliefs(
+            health=self.health,
+            load=self.load,
+            state_by_key=self._state_by_key,
+            version_by_adapter=self._version_by_adapter,
+            kept_by_address=self._kept_by_address,
+            wanted_by_key=wanted,
+            domain=self.domain,
+            now_ms=now_ms,
+        )
+
+    def _choose(self, ticket: Ticket, ranked: list[Candidate], now_ms: float) -> Decision:
+        best = ranked[0]
+        if best.is_ready:
+            return SendTo(endpoint=best.endpoint, version=best.version, cost_ms=best.cost_ms)
+        left_ms = ticket.ends_ms - now_ms
+        shortest_ms = SHORTEST_RUN_PART * ticket.route.objective_ms
+        ready = next((candidate for candidate in ranked if candidate.is_ready), None)
+        if ready is not None and ready.cost_ms < min(left_ms, best.cost_ms + PREFER_READY_MS):
+            return SendTo(endpoint=ready.endpoint, version=ready.version, cost_ms=ready.cost_ms)
+        if best.cost_ms + shortest_ms > left_ms:
+            retry_after_ms = min(best.cost_ms, max(RETRY_SOON_MS, left_ms / 3))
+            return TurnAway(
+                code=Code.QUEUE_FULL, reason="no place in time", retry_after_ms=retry_after_ms
+            )
+        return WaitFor(key=best.endpoint.key, cost_ms=best.cost_ms)
--- /dev/null
+++ b/src/skylarkrack/core/relay/_load.py
@@ -0,0 +1,99 @@
+"""How much work is under way at each endpoint: this entry's own, and what others told."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+LOAD_LIFE_MS = 1500.0
+"""What an entry told is dropped after this; it tells ten times a second while it works."""
+
+Key = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineState:
+    """What the agent beside an engine tells of it; *received_ms* is the hearer's clock.
+
+    *resident* maps (model, adapter) to the version held; *on_the_way* the same for loads. A model
+    without an adapter stands under the adapter "". *spare_places* are empty or can be emptied.
+    """
+
+    received_ms: float
+    resident: dict[tuple[str, str], int]
+    on_the_way: dict[tuple[str, str], int]
+    spare_places: int = 0
+
+
+@dataclass(slots=True)
+class _Told:
+    received_ms: float
+    runs_by_key: dict[Key, int] = field(default_factory=dict)
+    tokens_by_key: dict[Key, int] = field(default_factory=dict)
+
+
+class Load:
+    """Runs and tokens under way by endpoint incarnation, over all entries."""
+
+    __slots__ = ("_adapters", "_runs", "_tokens", "_told_by_entry")
+
+    def __init__(self) -> None:
+        self._runs: Counter[Key] = Counter()
+        self._tokens: Counter[Key] = Counter()
+        self._adapters: Counter[tuple[Key, str, str]] = Counter()
+        self._told_by_entry: dict[str, _Told] = {}
+
+    # Queries
+
+    def runs(self, key: Key, now_ms: float) -> int:
+        """Return the runs under way at an endpoint."""
+        return self._runs[key] + sum(told.runs_by_key.get(key, 0) for told in self._fresh(now_ms))
+
+    def tokens(self, key: Key, now_ms: float) -> int:
+        """Return the tokens that the runs under way may take of an engine's memory."""
+        return self._tokens[key] + sum(
+            told.tokens_by_key.get(key, 0) for told in self._fresh(now_ms)
+        )
+
+    def own(self) -> dict[Key, tuple[int, int]]:
+        """Return this entry's runs and tokens by endpoint."""
+        return {key: (count, self._tokens[key]) for key, count in self._runs.items() if count}
+
+    def own_adapters(self, key: Key) -> dict[tuple[str, str], int]:
+        """Return this entry's runs at an endpoint by (model, adapter)."""
+        return {
+            (model, adapter): count
+            for (at, model, adapter), count in self._adapters.items()
+            if at == key and count
+        }
+
+    # Commands
+
+    def began(self, key: Key, *, tokens: int, model: str = "", adapter: str = "") -> None:
+        """Count a run sent to an endpoint."""
+        self._runs[key] += 1
+        self._tokens[key] += tokens
+        if model:
+            self._adapters[key, model, adapter] += 1
+
+    def ended(self, key: Key, *, tokens: int, model: str = "", adapter: str = "") -> None:
+        """Count the end of a run."""
+        self._lower(self._runs, key, 1)
+        self._lower(self._tokens, key, tokens)
+        if model:
+            self._lower(self._adapters, (key, model, adapter), 1)
+
+    def told(self, entry: str, runs: dict[Key, int], tokens: dict[Key, int], now_ms: float) -> None:
+        """Take another entry's work under way."""
+        self._told_by_entry[entry] = _Told(now_ms, runs, tokens)
+
+    def _fresh(self, now_ms: float) -> list[_Told]:
+        return [
+            told
+            for told in self._told_by_entry.values()
+            if now_ms - told.received_ms < LOAD_LIFE_MS
+        ]
+
+    @staticmethod
+    def _lower(counter: Counter, key: object, amount: int) -> None:
+        counter[key] -= amount
+        if counter[key] <= 0:
+            del counter[key]
--- /dev/null
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -0,0 +1,116 @@
+"""Which processes there are, found from a few seeds and told on by those that answer."""
+
+from dataclasses import dataclass
+
+LOST_AFTER_MS = 3000.0
+"""A member that is silent for longer is only called from time to time."""
+
+CALL_LOST_MS = 1000.0
+"""Time between calls to members that are silent, and to seeds that are not known yet."""
+
+FORGET_AFTER_MS = 120_000.0
+"""A member that is silent for longer is taken for replaced."""
+
+MAX_TOLD = 40
+"""Members told in one message; a window that moves on, so that all are told by and by."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Contact:
+    """A process of the system: its VM, the address it hears on, its role and failure domain."""
+
+    vm: str
+    address: str
+    role: str
+    domain: str
+
+
+@dataclass(slots=True)
+class _Member:
+    contact: Contact
+    heard_ms: float
+    called_ms: float = float("-inf")
+    ever_heard: bool = False
+
+
+class Membership:
+    """Members by address. Times are ms on a monotonic clock."""
+
+    __slots__ = ("_by_address", "_called_ms_by_seed", "_own", "_window")
+
+    def __init__(self, own: Contact) -> None:
+        self._own = own
+        self._by_address: dict[str, _Member] = {}
+        self._called_ms_by_seed: dict[str, float] = {}
+        self._window = 0
+
+    # Queries
+
+    def alive(self, role: str, now_ms: float) -> list[Contact]:
+        """Return the members of *role* that were heard lately."""
+        return [
+            member.contact
+            for member in self._by_address.values()
+            if member.contact.role == role
+            and member.ever_heard
+            and now_ms - member.heard_ms < LOST_AFTER_MS
+        ]
+
+    # Commands
+
+    def set_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Take the addresses to begin with; others are found from them."""
+        self._called_ms_by_seed = {
+            address: self._called_ms_by_seed.get(address, float("-inf"))
+            for address in addresses
+            if address != self._own.address
+        }
+
+    def heard(self, contact: Contact, now_ms: float) -> bool:
+        """Note that a process was heard; tell whether it is new or was lost."""
+        if contact.address == self._own.address:
+            return False
+        member = self._by_address.get(contact.address)
+        is_news = member is None or not member.ever_heard
+        is_news = is_news or now_ms - member.heard_ms >= LOST_AFTER_MS
+        self._by_address[contact.address] = _Member(contact, now_ms, now_ms, ever_heard=True)
+        return is_news
+
+    def told(self, contact: Contact, now_ms: float) -> None:
+        """Note a process that another one has told of."""
+        if contact.address != self._own.address and contact.address not in self._by_address:
+            self._by_address[contact.address] = _Member(contact, now_ms)
+
+    def to_call(self, now_ms: float) -> list[str]:
+        """Return the silent members and unknown seeds to be called now."""
+        due = []
+        for address, member in list(self._by_address.items()):
+            silent_ms = now_ms - member.heard_ms
+            if silent_ms > FORGET_AFTER_MS:
+                del self._by_address[address]
+                continue
+            is_silent = not member.ever_heard or silent_ms > LOST_AFTER_MS
+            if is_silent and now_ms - member.called_ms >= CALL_LOST_MS:
+                member.called_ms = now_ms
+                due.append(address)
+        for address, called_ms in self._called_ms_by_seed.items():
+            if address not in self._by_address and now_ms - called_ms >= CALL_LOST_MS:
+                self._called_ms_by_seed[address] = now_ms
+                due.append(address)
+        return due
+
+    def telling(self, now_ms: float) -> list[Contact]:
+        """Return this process and the next few of the live members, to be told to another one."""
+        live = sorted(
+            (
+                member.contact
+                for member in self._by_address.values()
+                if member.ever_heard and now_ms - member.heard_ms < LOST_AFTER_MS
+            ),
+            key=lambda contact: contact.address,
+        )
+        if len(live) > MAX_TOLD:
+            start = self._window % len(live)
+            self._window += MAX_TOLD
+            live = (live + live)[start : start + MAX_TOLD]
+        return [self._own, *live]
--- /dev/null
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -0,0 +1,193 @@
+"""Where a request goes: the endpoint with the least expected delay, in milliseconds.
+
+The load pattern that this answers: far more adapters than places, a few of them popular, and
+bursts. An adapter's requests go back to the engines that hold it or held it lately, as long as
+waiting there costs less than a load elsewhere; a popular adapter so gets a second engine exactly
+when its first is full.
+"""
+
+from dataclasses import dataclass
+
+from skylarkrack.core._hashing import rendezvous_order
+from skylarkrack.core.relay._call import ModelNeed
+from skylarkrack.core.relay._directory import Endpoint
+from skylarkrack.core.relay._health import Health
+from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._table import Service
+
+COLD_LOAD_MS = 300.0
+"""An adapter from the weight store, with the order and the report."""
+
+WARM_LOAD_MS = 60.0
+"""An adapter that the engine held recently, with the order and the report."""
+
+ON_THE_WAY_MS = 150.0
+"""What is left on average of a load that was ordered."""
+
+MODEL_LOAD_MS = 4000.0
+"""A base model."""
+
+NO_AGENT_MS = 2000.0
+"""A load that nobody is there to order."""
+
+FULL_BATCH_MS = 120.0
+"""What a full batch adds until the first token, against an empty one."""
+
+QUEUED_RUN_MS = 60.0
+"""Wait for a place in a full batch, for each run that is ahead."""
+
+FAILURE_MS = 1500.0
+"""Cost of a request that fails, times the failure ratio."""
+
+RANK_MS = 4.0
+"""Cost of each lower place in the adapter's rendezvous order, so that homes are stable."""
+
+OTHER_DOMAIN_MS = 2.0
+"""Cost of leaving the failure domain; a little more than the way there and back."""
+
+PLAIN_RUN_MS = 80.0
+"""Latency that is assumed of a plain endpoint before it has answered."""
+
+LOADS_AT_ONCE = 4
+"""Adapters that may be on their way to one engine at a time."""
+
+NO_PLACE_MS = 600.0
+"""Wait for a run to end at an engine whose places are all in use."""
+
+PAUSED_MS = 1000.0
+"""Cost of an endpoint to which connections just failed."""
+
+STATE_LIFE_MS = 1500.0
+"""An agent that is silent for longer can't be asked for loads."""
+
+QUEUE_PART = 0.25
+"""Part of an engine's slots that may be queued at it; more urgent runs overtake there."""
+
+MEMORY_PART = 0.95
+"""Part of an engine's token memory that runs may promise to use."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """An endpoint with its expected delay. *is_ready* means that it can be sent to now."""
+
+    endpoint: Endpoint
+    cost_ms: float
+    is_ready: bool
+    version: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Beliefs:
+    """All that a placement depends on."""
+
+    health: Health
+    load: Load
+    state_by_key: dict[tuple[str, int], EngineState]
+    version_by_adapter: dict[tuple[str, str], int]
+    kept_by_address: dict[str, dict[tuple[str, str], None]]
+    wanted_by_key: dict[tuple[str, int], set[tuple[str, str]]]
+    domain: str
+    now_ms: float
+
+
+def candidates(
+    endpoints: list[Endpoint], service: Service, need: ModelNeed | None, beliefs: Beliefs
+) -> list[Candidate]:
+    """Return *endpoints* by expected delay, the least first."""
+    if service.engine is None or need is None:
+        found = [_plain(endpoint, beliefs) for endpoint in endpoints]
+    else:
+        name = f"{need.model}/{need.adapter}"
+        order = rendezvous_order(name, [endpoint.endpoint_id for endpoint in endpoints])
+        rank_by_id = {endpoint_id: rank for rank, endpoint_id in enumerate(order)}
+        found = [
+            _engine(endpoint, service, need, rank_by_id[endpoint.endpoint_id], beliefs)
+            for endpoint in endpoints
+        ]
+    return sorted(found, key=lambda candidate: candidate.cost_ms)
+
+
+def _base_ms(endpoint: Endpoint, beliefs: Beliefs) -> float:
+    key = endpoint.key
+    cost_ms = FAILURE_MS * beliefs.health.failure_ratio(key, beliefs.now_ms)
+    if endpoint.domain != beliefs.domain:
+        cost_ms += OTHER_DOMAIN_MS
+    if endpoint.cold_ms > 0:
+        cost_ms += FULL_BATCH_MS
+    return cost_ms
+
+
+def _plain(endpoint: Endpoint, beliefs: Beliefs) -> Candidate:
+    runs = beliefs.load.runs(endpoint.key, beliefs.now_ms)
+    run_ms = beliefs.health.latency_ms(endpoint.key) or PLAIN_RUN_MS
+    cost_ms = _base_ms(endpoint, beliefs) + run_ms * (1 + runs / max(1, endpoint.slots))
+    if runs >= endpoint.slots:
+        cost_ms += run_ms * (runs - endpoint.slots + 1) / max(1, endpoint.slots)
+    is_paused = beliefs.health.is_paused(endpoint.key, beliefs.now_ms)
+    if is_paused:
+        cost_ms += PAUSED_MS
+    is_ready = not is_paused and runs < 2 * max(1, endpoint.slots)
+    return Candidate(endpoint=endpoint, cost_ms=cost_ms, is_ready=is_ready)
+
+
+def _engine(
+    endpoint: Endpoint, service: Service, need: ModelNeed, rank: int, beliefs: Beliefs
+) -> Candidate:
+    shape, key = service.engine, endpoint.key
+    runs = beliefs.load.runs(key, beliefs.now_ms)
+    slots = endpoint.slots or shape.slots
+    cost_ms = _base_ms(endpoint, beliefs) + RANK_MS * rank + FULL_BATCH_MS * runs / slots
+    if runs >= slots:
+        cost_ms += QUEUED_RUN_MS * (runs - slots + 1)
+    is_ready = runs < slots * (1 + QUEUE_PART)
+    if beliefs.load.tokens(key, beliefs.now_ms) + need.tokens > MEMORY_PART * shape.cache_tokens:
+        cost_ms += FULL_BATCH_MS
+        is_ready = is_ready and runs == 0
+    if beliefs.health.is_paused(key, beliefs.now_ms):
+        cost_ms += PAUSED_MS
+        is_ready = False
+    version, load_ms = _adapter_state(endpoint, need, beliefs)
+    if version is None:
+        is_ready = False
+    return Candidate(
+        endpoint=endpoint, cost_ms=cost_ms + load_ms, is_ready=is_ready, version=version
+    )
+
+
+def _adapter_state(
+    endpoint: Endpoint, need: ModelNeed, beliefs: Beliefs
+) -> tuple[int | None, float]:
+    """Return the version that can be used now, or None, and the wait for one in ms."""
+    name = (need.model, need.adapter or "")
+    newest = beliefs.version_by_adapter.get(name, 0) if need.adapter else 0
+    state = beliefs.state_by_key.get(endpoint.key)
+    if state is None or beliefs.now_ms - state.received_ms > STATE_LIFE_MS:
+        held = _registered(endpoint, need)
+        return (held, 0.0) if held is not None and held >= newest else (None, NO_AGENT_MS)
+    held = state.resident.get(name)
+    if held is not None and held >= newest:
+        return held, 0.0
+    if (need.model, "") not in state.resident:
+        return None, MODEL_LOAD_MS
+    if name in state.on_the_way:
+        return None, ON_THE_WAY_MS
+    kept = beliefs.kept_by_address.get(endpoint.address, {})
+    load_ms = WARM_LOAD_MS if name in kept else COLD_LOAD_MS
+    wanted = beliefs.wanted_by_key.get(endpoint.key, set())
+    if name in wanted:
+        return None, load_ms
+    ahead = len(wanted | state.on_the_way.keys())
+    if ahead >= LOADS_AT_ONCE:
+        load_ms += COLD_LOAD_MS * (ahead - LOADS_AT_ONCE + 1) / LOADS_AT_ONCE
+    if state.spare_places <= len(wanted):
+        load_ms += NO_PLACE_MS
+    return None, load_ms
+
+
+def _registered(endpoint: Endpoint, need: ModelNeed) -> int | None:
+    """Return the version that the endpoint's registration names, which may be some seconds old."""
+    adapters = (endpoint.adapters_by_model or {}).get(need.model)
+    if adapters is None:
+        return None
+    return adapters.get(need.adapter) if need.adapter else 0
--- /dev/null
+++ b/src/skylarkrack/core/relay/_places.py
@@ -0,0 +1,300 @@
+"""The adapter places of one engine: what to load, what to evict, and in which order.
+
+One agent decides for one engine. An adapter that any entry uses or waits for is never evicted, and
+orders are counted as places from the moment they are sent until a report shows their effect.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from skylarkrack.core.relay._table import EngineShape
+
+Name = tuple[str, str]
+"""Model and adapter; the adapter is "" for the model itself."""
+
+IN_USE_LIFE_MS = 20_000.0
+"""What a silent entry used stays in use for the longest run that an entry allows."""
+
+WANTED_LIFE_MS = 1500.0
+"""What a silent entry wanted is forgotten after this."""
+
+UNCONFIRMED_MS = 2000.0
+"""An order without an answer, or without effect in the reports, is given up after this."""
+
+LOADS_AT_ONCE = 4
+"""Adapters that may be on their way to one engine at a time."""
+
+CONFLICT_PAUSE_MS = 30.0
+"""Pause after an order that crossed another change, until a new report was read."""
+
+FENCE_STEP = 10_000
+"""Raise of the fencing token after a refusal; more ms than a calendar clock steps."""
+
+
+class OrderKind(Enum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderResult(Enum):
+    """What became of an order."""
+
+    ACCEPTED = "accepted"
+    ALREADY_SO = "already_so"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineOrder:
+    """An order that only an engine at order number *expected_sequence* carries out.
+
+    *version* is None for the newest.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    version: int | None
+    expected_sequence: int
+
+    @property
+    def name(self) -> Name:
+        """Model and adapter."""
+        return self.model, self.adapter
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineReport:
+    """What an engine says of itself; a model stands in *resident* under the adapter ""."""
+
+    started_ms: int
+    sequence: int
+    is_busy: bool
+    resident: dict[Name, int]
+    on_the_way: dict[Name, int]
+
+
+@dataclass(slots=True)
+class _Demand:
+    incarnation: str
+    heard_ms: float
+    wanted: dict[Name, tuple[int, int]] = field(default_factory=dict)
+    in_use: dict[Name, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Pending:
+    order: EngineOrder
+    until_ms: float
+    is_answered: bool = False
+
+
+class Places:
+    """Decides the orders to one engine. Times are ms on a monotonic clock."""
+
+    __slots__ = (
+        "_demand_by_entry",
+        "_paused_until_ms",
+        "_pending",
+        "_report",
+        "_shape",
+        "_used_ms_by_name",
+        "_version_by_name",
+        "fence",
+    )
+
+    def __init__(self, *, fence: int) -> None:
+        self.fence = fence
+        self._shape: EngineShape | None = None
+        self._report: EngineReport | None = None
+        self._demand_by_entry: dict[str, _Demand] = {}
+        self._version_by_name: dict[Name, int] = {}
+        self._used_ms_by_name: dict[Name, float] = {}
+        self._pending: _Pending | None = None
+        self._paused_until_ms = 0.0
+
+    # Queries
+
+    @property
+    def report(self) -> EngineReport | None:
+        """The newest report of this incarnation, or None."""
+        return self._report
+
+    def is_expecting(self) -> bool:
+        """Tell whether a report may soon show something new."""
+        return self._pending is not None or bool(self._report and self._report.on_the_way)
+
+    def spare_places(self, now_ms: float) -> int:
+        """Return the places that are empty or hold an adapter that nobody uses."""
+        if self._shape is None or self._report is None:
+            return 0
+        held = self._held()
+        idle = sum(not self._is_needed(name, now_ms) for name in self._evictable())
+        return max(0, self._shape.adapter_places - len(held)) + idle
+
+    # Commands
+
+    def shape_known(self, shape: EngineShape) -> None:
+        """Take what the engine can hold."""
+        self._shape = shape
+
+    def version_known(self, name: Name, version: int) -> None:
+        """Take the announcement of a version."""
+        self._version_by_name[name] = max(version, self._version_by_name.get(name, 0))
+
+    def reported(self, report: EngineReport, now_ms: float) -> None:
+        """Take a report; one of another incarnation forgets what was ordered before."""
+        if self._report is not None and report.started_ms != self._report.started_ms:
+            self._pending = None
+            self._used_ms_by_name.clear()
+        self._report = report
+        for name in report.resident:
+            self._used_ms_by_name.setdefault(name, now_ms)
+        if self._pending is not None:
+            self._settle(now_ms)
+
+    def demanded(
+        self,
+        entry: str,
+        incarnation: str,
+        *,
+        wanted: dict[Name, tuple[int, int]],
+        in_use: dict[Name, int],
+        now_ms: float,
+    ) -> None:
+        """Take what an entry waits for, as (urgency, requests), and the runs it has here.
+
+        A new incarnation of an entry has lost the runs of the one before; those may still be at
+        the engine, which waits for their end before it evicts.
+        """
+        self._demand_by_entry[entry] = _Demand(incarnation, now_ms, wanted, in_use)
+        for name in (*wanted, *in_use):
+            self._used_ms_by_name[name] = now_ms
+
+    def next_order(self, now_ms: float) -> EngineOrder | None:
+        """Return the order to send now, or None; its result is due before the next."""
+        report, shape = self._report, self._shape
+        if report is None or shape is None or self._pending is not None:
+            return None
+        if now_ms < self._paused_until_ms or report.is_busy:
+            return None
+        order = self._model_order() or self._adapter_order(now_ms)
+        if order is not None:
+            self._pending = _Pending(order, now_ms + UNCONFIRMED_MS)
+        return order
+
+    def answered(self, result: OrderResult, now_ms: float) -> None:
+        """Take what became of the order under way."""
+        pending = self._pending
+        if pending is None:
+            return
+        pending.is_answered = result is not OrderResult.UNKNOWN
+        if result in (OrderResult.CONFLICT, OrderResult.FENCED, OrderResult.REJECTED):
+            self._pending = None
+            self._paused_until_ms = now_ms + CONFLICT_PAUSE_MS
+        if result is OrderResult.FENCED:
+            self.fence += FENCE_STEP
+        if result is OrderResult.ALREADY_SO and pending.order.kind is OrderKind.LOAD:
+            self._pending = None
+
+    def _settle(self, now_ms: float) -> None:
+        """Drop the order under way once a report shows it, or it can't come any more."""
+        pending, report = self._pending, self._report
+        order = pending.order
+        is_evicted = order.kind is OrderKind.UNLOAD and order.name not in report.resident
+        is_seen = report.sequence > order.expected_sequence or is_evicted
+        if is_seen or now_ms >= pending.until_ms:
+            self._pending = None
+
+    def _model_order(self) -> EngineOrder | None:
+        """Return a load of a base model for an engine that holds none."""
+        if any(not adapter for _, adapter in self._report.resident) or self._report.on_the_way:
+            return None
+        fitting = [
+            model
+            for model in self._shape.model_by_name.values()
+            if model.weights_mb <= self._shape.memory_mb
+        ]
+        if not fitting:
+            return None
+        counts = {model.name: 0 for model in fitting}
+        for demand in self._demand_by_entry.values():
+            for (model, _), (_, count) in demand.wanted.items():
+                if model in counts:
+                    counts[model] += count
+        busiest = max(counts, key=lambda name: counts[name])
+        return self._order(OrderKind.LOAD, (busiest, ""), None)
+
+    def _adapter_order(self, now_ms: float) -> EngineOrder | None:
+        if len(self._report.on_the_way) >= LOADS_AT_ONCE:
+            return None
+        for name in self._wanted(now_ms):
+            if (name[0], "") not in self._report.resident:
+                continue
+            version = self._version_by_name.get(name)
+            if name in self._report.resident:
+                return self._order(OrderKind.LOAD, name, version)
+            if len(self._held()) < self._shape.adapter_places:
+                return self._order(OrderKind.LOAD, name, version)
+            return self._eviction(now_ms)
+        return None
+
+    def _wanted(self, now_ms: float) -> list[Name]:
+        """Return the adapters that are waited for and not held as wanted, the most urgent first."""
+        rank_by_name: dict[Name, tuple[int, int]] = {}
+        for demand in self._demand_by_entry.values():
+            if now_ms - demand.heard_ms > WANTED_LIFE_MS:
+                continue
+            for name, (urgency, count) in demand.wanted.items():
+                known_urgency, negative = rank_by_name.get(name, (urgency, 0))
+                rank_by_name[name] = min(urgency, known_urgency), negative - count
+        missing = [name for name in rank_by_name if name[1] and not self._is_current(name)]
+        return sorted(missing, key=lambda name: (rank_by_name[name], name))
+
+    def _is_current(self, name: Name) -> bool:
+        if name in self._report.on_the_way:
+            return True
+        held = self._report.resident.get(name)
+        return held is not None and held >= self._version_by_name.get(name, 0)
+
+    def _held(self) -> set[Name]:
+        """Return the adapters that take a place, or may."""
+        held = {name for name in self._report.resident if name[1]}
+        held |= self._report.on_the_way.keys()
+        if self._pending is not None and self._pending.order.kind is OrderKind.LOAD:
+            held.add(self._pending.order.name)
+        return held
+
+    def _evictable(self) -> list[Name]:
+        return [name for name in self._report.resident if name[1]]
+
+    def _is_needed(self, name: Name, now_ms: float) -> bool:
+        for demand in self._demand_by_entry.values():
+            age_ms = now_ms - demand.heard_ms
+            if name in demand.in_use and age_ms < IN_USE_LIFE_MS:
+                return True
+            if name in demand.wanted and age_ms < WANTED_LIFE_MS:
+                return True
+        return False
+
+    def _eviction(self, now_ms: float) -> EngineOrder | None:
+        """Return the eviction of the adapter that was unused for longest, or None."""
+        idle = [name for name in self._evictable() if not self._is_needed(name, now_ms)]
+        if not idle:
+            return None
+        oldest = min(idle, key=lambda name: (self._used_ms_by_name.get(name, 0.0), name))
+        return self._order(OrderKind.UNLOAD, oldest, None)
+
+    def _order(self, kind: OrderKind, name: Name, version: int | None) -> EngineOrder:
+        return EngineOrder(
+            kind=kind,
+            model=name[0],
+            adapter=name[1],
+            version=version,
+            expected_sequence=self._report.sequence,
+        )
--- /dev/null
+++ b/src/skylarkrack/core/relay/_table.py
@@ -0,0 +1,138 @@
+"""The routing table: routes, services, organisations and the bounds on what callers may send."""
+
+import hashlib
+import zlib
+from dataclasses import dataclass, field
+
+_SPLIT_STEPS = 1 << 32
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """One route of callers to a service.
+
+    *shares* holds a service's name and weight for each part of a split. *max_endpoints* bounds the
+    endpoints that may run one attempt of a caller; *objective_ms* is the latency that callers
+    expect; *priority* ranks routes, 0 first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[tuple[str, float], ...]
+    is_stream: bool
+    is_idempotent: bool
+    is_public: bool
+    timeout_ms: float
+    objective_ms: float
+    priority: int
+    max_endpoints: int
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service that gets this request, by weight; equal ids choose alike."""
+        total = sum(weight for _, weight in self.shares)
+        point = zlib.crc32(request_id.encode()) / _SPLIT_STEPS * total
+        for service, weight in self.shares:
+            point -= weight
+            if point < 0:
+                return service
+        return self.shares[-1][0]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelShape:
+    """A base model that a service's engines can hold."""
+
+    name: str
+    weights_mb: float
+    load_ms: float
+    adapter_mb: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineShape:
+    """What an engine of a service can hold and run at once."""
+
+    slots: int
+    cache_tokens: int
+    memory_mb: float
+    adapter_places: int
+    model_by_name: dict[str, ModelShape]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A service: model engines where *engine* is given, else plain endpoints."""
+
+    name: str
+    max_connections: int
+    engine: EngineShape | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Quota:
+    """Rate and burst of one organisation over the whole fleet, in tokens where *counts_tokens*.
+
+    A request without a token count takes *plain_cost*. A rate of 0 is no limit.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    plain_cost: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """An organisation as the routing table knows it."""
+
+    name: str
+    priority: int | None
+    quota: Quota
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """Bounds on one caller's requests and connections."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingTable:
+    """One accepted configuration. *organisation_by_digest* is None where no keys are in use."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[str, Service]
+    organisation_by_digest: dict[bytes, Member] | None
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of *path*, or None."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def organisation_for(self, key: str | None) -> Member | None:
+        """Return the organisation that holds *key*, or None."""
+        if key is None or self.organisation_by_digest is None:
+            return None
+        return self.organisation_by_digest.get(digest_of_key(key))
+
+
+def digest_of_key(key: str) -> bytes:
+    """Return what is kept of a caller's key."""
+    return hashlib.blake2b(key.encode(), digest_size=16).digest()
+
+
+def by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return *routes* by host, the longest prefix first."""
+    grouped: dict[str, list[Route]] = {}
+    for route in sorted(routes, key=lambda route: -len(route.prefix)):
+        grouped.setdefault(route.host, []).append(route)
+    return {host: tuple(group) for host, group in grouped.items()}
--- /dev/null
+++ b/src/skylarkrack/core/relay/_usage.py
@@ -0,0 +1,126 @@
+"""Rate and burst of organisations over all entries, by exchanging what each has granted.
+
+Every entry keeps the whole bucket of every organisation and takes from it what it grants itself
+and what it hears that others granted. Grants that are not heard of yet make the sum overshoot for
+the time of one exchange. An entry that is silent may be cut off and still grant: its equal part of
+the rate is charged to the bucket meanwhile, and settled when it is heard again. Each side of a
+partition then grants no more than its own parts, however long the partition lasts.
+"""
+
+from dataclasses import dataclass, field
+
+from skylarkrack.core.relay._table import Quota
+
+SILENT_AFTER_MS = 600.0
+"""Six exchanges missed in a row."""
+
+FORGET_AFTER_MS = 20_000.0
+"""An entry that was silent for so long has been replaced."""
+
+START_PART = 0.5
+"""Part of the burst that a new process holds: its earlier grants may not have been told."""
+
+MAX_DEBT_S = 1.0
+"""Seconds of the rate that the bucket may lie below empty, so that late news can't block long."""
+
+
+@dataclass(slots=True)
+class _Level:
+    quota: Quota
+    level: float
+    at_ms: float
+
+    def advance(self, now_ms: float, *, drain_per_s: float) -> None:
+        elapsed_s = max(0.0, now_ms - self.at_ms) / 1000
+        self.at_ms = max(self.at_ms, now_ms)
+        level = self.level + (self.quota.rate_per_s - drain_per_s) * elapsed_s
+        self.level = min(self.quota.burst, level)
+
+    def take(self, amount: float) -> None:
+        self.level = max(self.level - amount, -MAX_DEBT_S * self.quota.rate_per_s)
+
+
+@dataclass(slots=True)
+class _Peer:
+    incarnation: str
+    heard_ms: float
+    granted_by_organisation: dict[str, float] = field(default_factory=dict)
+
+
+class Usage:
+    """The buckets as one entry believes them. Times are ms on a monotonic clock."""
+
+    __slots__ = ("_granted_by_organisation", "_level_by_organisation", "_peer_by_name")
+
+    def __init__(self) -> None:
+        self._granted_by_organisation: dict[str, float] = {}
+        self._level_by_organisation: dict[str, _Level] = {}
+        self._peer_by_name: dict[str, _Peer] = {}
+
+    # Queries
+
+    def granted(self) -> dict[str, float]:
+        """Return what this process granted since its start, by organisation."""
+        return dict(self._granted_by_organisation)
+
+    def wait_ms(self, organisation: str, quota: Quota) -> float:
+        """Return how long until the bucket is no longer empty."""
+        level = self._level_by_organisation.get(organisation)
+        if level is None or level.level > 0 or quota.rate_per_s <= 0:
+            return 0.0
+        return -level.level / quota.rate_per_s * 1000
+
+    # Commands
+
+    def take(self, organisation: str, amount: float, quota: Quota, now_ms: float) -> bool:
+        """Grant *amount* if the bucket isn't empty; tell whether it was granted."""
+        if quota.rate_per_s <= 0:
+            return True
+        level = self._advance(organisation, quota, now_ms)
+        if level.level <= 0:
+            return False
+        level.take(amount)
+        granted = self._granted_by_organisation
+        granted[organisation] = granted.get(organisation, 0.0) + amount
+        return True
+
+    def give_back(self, organisation: str, amount: float) -> None:
+        """Take back a grant whose request did not run and never will."""
+        level = self._level_by_organisation.get(organisation)
+        if level is None:
+            return
+        level.level = min(level.quota.burst, level.level + amount)
+        self._granted_by_organisation[organisation] -= amount
+
+    def heard(self, peer: str, incarnation: str, granted: dict[str, float], now_ms: float) -> None:
+        """Take what another entry has granted since its start."""
+        known = self._peer_by_name.get(peer)
+        before: dict[str, float] = {}
+        if known is not None and known.incarnation == incarnation:
+            before = known.granted_by_organisation
+        for organisation, total in granted.items():
+            level = self._level_by_organisation.get(organisation)
+            if level is not None and known is not None:
+                level.take(total - before.get(organisation, 0.0))
+        self._peer_by_name[peer] = _Peer(incarnation, now_ms, granted)
+
+    def forget_silent(self, now_ms: float) -> None:
+        """Drop the entries that have been silent too long to be alive."""
+        for name, peer in list(self._peer_by_name.items()):
+            if now_ms - peer.heard_ms > FORGET_AFTER_MS:
+                del self._peer_by_name[name]
+
+    def _advance(self, organisation: str, quota: Quota, now_ms: float) -> _Level:
+        level = self._level_by_organisation.get(organisation)
+        if level is None:
+            level = _Level(quota, quota.burst * START_PART, now_ms)
+            self._level_by_organisation[organisation] = level
+        silent = sum(
+            now_ms - peer.heard_ms > SILENT_AFTER_MS for peer in self._peer_by_name.values()
+        )
+        part = quota.rate_per_s / (len(self._peer_by_name) + 1)
+        level.advance(now_ms, drain_per_s=part * silent)
+        if level.quota != quota:
+            level.quota = quota
+            level.level = min(level.level, quota.burst)
+        return level
--- a/src/skylarkrack/entry/_entry.py
+++ b/src/skylarkrack/entry/_entry.py
@@ -87,7 +87,7 @@
             next_request_id=lambda: f"{settings.vm}-{incarnation}-{next(counter)}",
         )
         self._front = Front(self._context)
-        limits = settings.limits
+        limits = settings.limits.for_server()
         self._callers = HttpServer(self._front.handle, refuse=refuse, limits=limits, name="callers")
         sources = StatusSources(
             describe=self._describe,
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -288,3 +288,68 @@
 
     request_id: str
     ticket: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Roster:
+    """Who is there, in a datagram: the sender first, as [VM, address, role, failure domain]."""
+
+    members: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayState:
+    """What a relaying entry tells other entries, in a datagram.
+
+    *granted* holds the tokens granted since the start by organisation; *loads* rows of
+    [endpoint address, its start, runs, tokens]; *table_version* is the configuration in force.
+    *suspects* are fingerprints of requests that an endpoint did not survive, with the crashes.
+    """
+
+    vm: str
+    address: str
+    incarnation: str
+    sequence: int
+    domain: str
+    table_version: int
+    granted: dict
+    loads: list
+    suspects: dict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdapterDemand:
+    """What an entry wants of the engine beside an agent, in a datagram.
+
+    *wanted* holds rows of [model, adapter, urgency, requests], *in_use* of [model, adapter, runs].
+    """
+
+    vm: str
+    address: str
+    incarnation: str
+    sequence: int
+    domain: str
+    endpoint_id: str
+    started_ms: int
+    wanted: list
+    in_use: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineTold:
+    """What the agent beside an engine tells entries, in a datagram.
+
+    *resident* and *on_the_way* hold rows of [model, adapter, version]; a model stands there under
+    the adapter "".
+    """
+
+    vm: str
+    address: str
+    incarnation: str
+    sequence: int
+    domain: str
+    endpoint: str
+    started_ms: int
+    resident: list
+    on_the_way: list
+    spare_places: int
--- /dev/null
+++ b/src/skylarkrack/platform/_engine.py
@@ -0,0 +1,77 @@
+"""Calls to the model engine beside an agent."""
+
+import json
+
+from skylarkrack._errors import LinkLost
+from skylarkrack.core.relay import EngineOrder, EngineReport, OrderResult
+from skylarkrack.platform._documents import DocumentRejected, decode_report
+from skylarkrack.web import HttpClient
+
+REPORT_TIMEOUT_MS = 1000.0
+ORDER_TIMEOUT_MS = 1000.0
+"""An engine on the same machine answers in a millisecond; a longer silence is a lost answer."""
+
+_RESULT_BY_STATUS = {
+    200: OrderResult.ALREADY_SO,
+    202: OrderResult.ACCEPTED,
+    400: OrderResult.REJECTED,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.CONFLICT,
+}
+
+
+class PlatformEngine:
+    """Reads reports and gives orders; implements `EnginePort`."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def report(self) -> EngineReport:
+        """Return what the engine says of itself; raises `LinkLost`."""
+        response = await self._client.request("GET", "/report", timeout_ms=REPORT_TIMEOUT_MS)
+        body = await response.whole(timeout_ms=REPORT_TIMEOUT_MS)
+        if response.status != 200:
+            raise LinkLost(f"report with status {response.status}", sent=True)
+        try:
+            return decode_report(body)
+        except DocumentRejected as error:
+            raise LinkLost(f"report: {error}", sent=True) from error
+
+    async def order(
+        self, order: EngineOrder, *, endpoint_id: str, holder: str, fence: int
+    ) -> OrderResult:
+        """Give an order; an order without an answer may have been accepted."""
+        document = {
+            "op": order.kind.value,
+            "model": order.model,
+            "expected": order.expected_sequence,
+            "holder": holder,
+            "fence": fence,
+        }
+        if order.adapter:
+            document["adapter"] = order.adapter
+        if order.version is not None:
+            document["version"] = order.version
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"x-expect-instance", endpoint_id.encode()),
+        ]
+        try:
+            response = await self._client.request(
+                "POST",
+                "/order",
+                headers=headers,
+                body=json.dumps(document).encode(),
+                timeout_ms=ORDER_TIMEOUT_MS,
+            )
+            await response.whole(timeout_ms=ORDER_TIMEOUT_MS)
+        except LinkLost as error:
+            return OrderResult.UNKNOWN if error.sent else OrderResult.CONFLICT
+        return _RESULT_BY_STATUS.get(response.status, OrderResult.UNKNOWN)
--- /dev/null
+++ b/src/skylarkrack/platform/_headers.py
@@ -0,0 +1,188 @@
+"""The platform's headers between callers, entries and endpoints."""
+
+from skylarkrack._errors import Code, RequestRefused
+from skylarkrack.core.relay import Call, ModelNeed
+from skylarkrack.relay import Arrival, Passage, Verdict
+from skylarkrack.web import Headers, Request
+
+# Each attempt of a caller has its own id; a caller's retry is a new request.
+_REQUEST_ID = b"x-attempt-id"
+_PATIENCE = b"x-deadline-ms"
+_MODEL = b"x-model"
+# Prompt tokens and the most output tokens: what the request costs, not what it used.
+_TOKEN_COUNT = b"x-token-count"
+_PREFIX = b"x-prompt-prefix"
+_RESUME_AFTER = b"last-event-id"
+_KEY = b"authorization"
+# The endpoint's proof that it made the answer.
+_PROOF = b"x-response-seal"
+_NOT_RUN = b"x-not-executed"
+
+_ENDPOINT_ID = b"x-expect-instance"
+_ORGANISATION = b"x-tenant"
+_URGENCY = b"x-request-urgency"
+# Of an adapter where the request names one, else of the model's weights.
+_VERSION = b"x-expect-version"
+
+_KEY_SCHEME = "token"
+_MISDIRECTED = 421
+_REFUSING = (400, 408, 421, 429, 503)
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+# Set by the system alone: a caller's own would reserve memory, move it, or name an organisation.
+_SYSTEM_ONLY = frozenset(
+    {
+        _KEY,
+        _PATIENCE,
+        _RESUME_AFTER,
+        _ENDPOINT_ID,
+        _ORGANISATION,
+        _URGENCY,
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"content-length",
+    }
+)
+
+_NO_CALLER = _HOP_BY_HOP | {b"content-length"}
+
+
+class PlatformDialect:
+    """Decodes callers' requests and endpoints' answers; encodes what is passed on."""
+
+    __slots__ = ()
+
+    def arrival_of(self, request: Request, now_ms: float) -> Arrival:
+        """Return what a request asks; raises `RequestRefused` where it says too little."""
+        request_id = request.header(_REQUEST_ID)
+        host = request.header(b"host")
+        if not request_id or not host:
+            raise RequestRefused("no request id or host", code=Code.BAD_FIELD)
+        need, has_count = _need_of(request)
+        call = Call(
+            request_id=request_id,
+            arrived_ms=now_ms,
+            patience_ms=_number(request.header(_PATIENCE)),
+            need=need,
+            has_token_count=has_count,
+            resume_after=request.header(_RESUME_AFTER),
+        )
+        return Arrival(
+            host=host.partition(":")[0].lower(),
+            path=request.path,
+            key=_key_of(request.header(_KEY)),
+            call=call,
+        )
+
+    def headers_for_endpoint(self, request: Request, passage: Passage) -> Headers:
+        """Return the headers that go to an endpoint, without the key and the body's length."""
+        dropped = _HOP_BY_HOP | _SYSTEM_ONLY | _listed_hops(request.headers)
+        if passage.version is not None:
+            dropped |= {_VERSION}
+        headers = [(name, value) for name, value in request.headers if name not in dropped]
+        headers.append((_PATIENCE, str(max(1, int(passage.remaining_ms))).encode()))
+        headers.append((_ENDPOINT_ID, passage.endpoint_id.encode()))
+        if passage.organisation is not None:
+            headers.append((_ORGANISATION, passage.organisation.encode()))
+        if request.header(_MODEL) is not None:
+            headers.append((_URGENCY, str(passage.urgency).encode()))
+        if passage.version is not None:
+            headers.append((_VERSION, str(passage.version).encode()))
+        if passage.resume_after is not None:
+            headers.append((_RESUME_AFTER, passage.resume_after.encode("latin-1")))
+        return headers
+
+    def is_answer_to(self, request_id: str, headers: Headers) -> bool:
+        """Tell whether an answer belongs to the request; refusals may come without an id."""
+        answered = _value(headers, _REQUEST_ID)
+        return answered is None or answered == request_id
+
+    def verdict_of(self, status: int, headers: Headers) -> Verdict:
+        """Return what an answer's head says."""
+        is_misdirected = status == _MISDIRECTED
+        has_word = _value(headers, _NOT_RUN) is not None and status in _REFUSING
+        is_encoded = _value(headers, b"content-encoding") is not None
+        is_answer = _value(headers, _REQUEST_ID) is not None
+        has_proof = _value(headers, _PROOF) is not None
+        return Verdict(
+            was_not_run=is_misdirected or has_word,
+            is_proven=has_proof and is_answer and not is_encoded,
+            lacks_adapter=is_misdirected,
+        )
+
+    def headers_for_caller(self, headers: Headers) -> Headers:
+        """Return the headers of an answer that go on to the caller."""
+        dropped = _NO_CALLER | _listed_hops(headers)
+        return [(name, value) for name, value in headers if name not in dropped]
+
+    def headers_of_own_answer(self, request_id: str | None) -> Headers:
+        """Return the headers of the relay's own answers: the request's id, and no proof."""
+        return [] if request_id is None else [(_REQUEST_ID, request_id.encode("latin-1"))]
+
+
+def _need_of(request: Request) -> tuple[ModelNeed | None, bool]:
+    """Return what a request needs of an engine, and whether it says how many tokens."""
+    model = request.header(_MODEL)
+    count = request.header(_TOKEN_COUNT)
+    prompt, _, output = (count or "").partition(",")
+    has_count = prompt.strip().isdigit() and output.strip().isdigit()
+    if model is None:
+        return None, has_count
+    name, _, adapter = model.partition("/")
+    need = ModelNeed(
+        model=name,
+        adapter=adapter or None,
+        prompt_tokens=int(prompt) if has_count else 0,
+        output_tokens=int(output) if has_count else 0,
+        prefix=_prefix_of(request.header(_PREFIX)),
+    )
+    return need, has_count
+
+
+def _prefix_of(value: str | None) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for text in (value or "").split(","):
+        part_id, _, tokens = text.strip().partition(":")
+        if part_id and tokens.isdigit():
+            parts.append((part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _key_of(value: str | None) -> str | None:
+    scheme, _, key = (value or "").strip().partition(" ")
+    if scheme.lower() != _KEY_SCHEME or not key.strip():
+        return None
+    return key.strip()
+
+
+def _number(value: str | None) -> float | None:
+    if value is None or not value.strip().isdigit():
+        return None
+    return float(value)
+
+
+def _listed_hops(headers: Headers) -> frozenset[bytes]:
+    """Return the headers that `Connection` names as concerning this connection only."""
+    names = [value for name, value in headers if name == b"connection"]
+    return frozenset(part.strip().lower() for value in names for part in value.split(b","))
+
+
+def _value(headers: Headers, name: bytes) -> str | None:
+    return next((value.decode("latin-1") for key, value in headers if key == name), None)
--- /dev/null
+++ b/src/skylarkrack/relay/_desk.py
@@ -0,0 +1,71 @@
+"""Lets requests wait for what the dispatcher decides, and wakes them when something changed."""
+
+import asyncio
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import RequestRefused
+from skylarkrack.core.relay import Dispatcher, SendTo, Ticket, TurnAway, WaitFor
+
+TICK_MS = 25.0
+"""Longest time until a waiting request is looked at again."""
+
+
+class Desk:
+    """The requests that wait at this entry."""
+
+    __slots__ = ("_answer_by_ticket", "_timer", "dispatcher", "on_wait")
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+        self._answer_by_ticket: dict[Ticket, asyncio.Future] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self.on_wait = lambda key: None
+
+    async def place(self, ticket: Ticket) -> SendTo:
+        """Return where the request goes, after a wait if need be; raises `RequestRefused`."""
+        decision = self.dispatcher.decide(ticket, monotonic_ms())
+        if isinstance(decision, WaitFor):
+            decision = await self._wait(ticket, decision)
+        if isinstance(decision, TurnAway):
+            raise RequestRefused(
+                decision.reason, code=decision.code, retry_after_ms=round(decision.retry_after_ms)
+            )
+        return decision
+
+    def wake(self) -> None:
+        """Decide again about the requests that wait."""
+        now_ms = monotonic_ms()
+        while (ready := self.dispatcher.next_ready(now_ms)) is not None:
+            ticket, decision = ready
+            answer = self._answer_by_ticket.get(ticket)
+            if answer is not None and not answer.done():
+                answer.set_result(decision)
+                # The next one in turn has to see this one's load.
+                break
+        self._arm()
+
+    def close(self) -> None:
+        """Stop looking."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    async def _wait(self, ticket: Ticket, decision: WaitFor) -> SendTo | TurnAway:
+        self.dispatcher.wait(ticket, decision)
+        answer = asyncio.get_running_loop().create_future()
+        self._answer_by_ticket[ticket] = answer
+        self.on_wait(decision.key)
+        self._arm()
+        try:
+            return await answer
+        finally:
+            del self._answer_by_ticket[ticket]
+            self.dispatcher.leave(ticket)
+            if self._answer_by_ticket:
+                asyncio.get_running_loop().call_soon(self.wake)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._answer_by_ticket:
+            self._timer = asyncio.get_running_loop().call_later(TICK_MS / 1000, self.wake)
--- /dev/null
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -0,0 +1,257 @@
+"""The agent beside one engine: the only one that gives it orders."""
+
+import asyncio
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import LinkLost
+from skylarkrack._events import Event, log
+from skylarkrack._metrics import Metrics
+from skylarkrack._tasks import Tasks
+from skylarkrack.core.relay import (
+    Contact,
+    Endpoint,
+    EngineReport,
+    Membership,
+    Places,
+    RoutingTable,
+)
+from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
+from skylarkrack.relay._datagrams import Datagrams
+from skylarkrack.relay._registry import EnginePort
+from skylarkrack.relay._settings import RelaySettings
+
+IDLE_POLL_MS = 100.0
+"""Time between reports while nothing is expected."""
+
+BUSY_POLL_MS = 12.0
+"""The same while an order is being carried out; a copy in memory loads in 25 ms."""
+
+TELL_MS = 300.0
+"""Longest time between states told to entries; changes are told at once."""
+
+MEMBERSHIP_MS = 250.0
+
+
+class EngineAgent:
+    """Reads the engine's reports, orders its adapters, and tells entries what it holds."""
+
+    __slots__ = (
+        "_datagrams",
+        "_endpoint_id",
+        "_engine",
+        "_incarnation",
+        "_membership",
+        "_metrics",
+        "_places",
+        "_sequence",
+        "_service",
+        "_settings",
+        "_tasks",
+        "_told",
+        "_told_ms",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        *,
+        engine: EnginePort,
+        service: str,
+        incarnation: str,
+        fence: int,
+    ) -> None:
+        self._settings = settings
+        self._engine = engine
+        self._service = service
+        self._incarnation = incarnation
+        self._metrics = Metrics()
+        self._tasks = Tasks()
+        self._places = Places(fence=fence)
+        own = Contact(vm=settings.vm, address=settings.peers, role="agent", domain=settings.domain)
+        self._membership = Membership(own)
+        self._membership.set_seeds(settings.seeds)
+        self._datagrams = Datagrams(self._hear)
+        self._endpoint_id: tuple[int, str] | None = None
+        self._sequence = 0
+        self._told: tuple | None = None
+        self._told_ms = 0.0
+        self._wake = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin to read the engine's reports and to talk to entries."""
+        await self._datagrams.start(self._settings.peers)
+        self._tasks.spawn(self._run_engine())
+        self._tasks.spawn(self._keep_membership())
+
+    async def drain(self) -> None:
+        """Nothing is under way that could be cut."""
+
+    async def close(self) -> None:
+        """Stop."""
+        self._tasks.close()
+        self._engine.close()
+        self._datagrams.close()
+
+    def settings_changed(self, settings: RelaySettings) -> None:
+        """Take what may change while the process runs: the seeds."""
+        self._membership.set_seeds(settings.seeds)
+
+    # What the registry tells
+
+    def table_published(self, table: RoutingTable) -> None:
+        """Take the engine's shape."""
+        service = table.service_by_name.get(self._service)
+        if service is not None and service.engine is not None:
+            self._places.shape_known(service.engine)
+
+    def adapter_published(self, model: str, adapter: str, version: int) -> None:
+        """Note the newest version of an adapter."""
+        self._places.version_known((model, adapter), version)
+        log(Event.VERSION_ANNOUNCED, model=model, adapter=adapter, version=version)
+
+    def endpoint_put(self, endpoint: Endpoint) -> None:
+        """Endpoints do not concern an agent."""
+
+    def endpoint_removed(self, endpoint_id: str) -> None:
+        """Endpoints do not concern an agent."""
+
+    def endpoints_listed(self, endpoints: list[Endpoint], unreadable: set[str]) -> None:
+        """Endpoints do not concern an agent."""
+
+    def registry_lost(self, reason: str) -> None:
+        """Go on with what is known."""
+        log(Event.REGISTRY_LOST, reason=reason)
+
+    def registry_back(self) -> None:
+        """The registry answers again."""
+        log(Event.REGISTRY_BACK)
+
+    # What entries tell
+
+    def _hear(self, message: object) -> None:
+        now_ms = monotonic_ms()
+        if isinstance(message, Roster):
+            rows = message.members
+            contacts = [Contact(vm=r[0], address=r[1], role=r[2], domain=r[3]) for r in rows]
+            self._note_member(contacts[0], now_ms)
+            for contact in contacts[1:]:
+                self._membership.told(contact, now_ms)
+        elif isinstance(message, AdapterDemand):
+            self._hear_demand(message, now_ms)
+        elif isinstance(message, RelayState):
+            contact = Contact(
+                vm=message.vm, address=message.address, role="entry", domain=message.domain
+            )
+            self._note_member(contact, now_ms)
+
+    def _note_member(self, contact: Contact, now_ms: float) -> None:
+        if self._membership.heard(contact, now_ms):
+            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
+            if contact.role == "entry":
+                self._datagrams.send(self._roster(now_ms), contact.address)
+                self._told = None
+                self._wake.set()
+
+    def _hear_demand(self, message: AdapterDemand, now_ms: float) -> None:
+        contact = Contact(
+            vm=message.vm, address=message.address, role="entry", domain=message.domain
+        )
+        self._note_member(contact, now_ms)
+        report = self._places.report
+        if report is None or report.started_ms != message.started_ms:
+            return
+        self._endpoint_id = (message.started_ms, message.endpoint_id)
+        self._places.demanded(
+            message.vm,
+            message.incarnation,
+            wanted={(row[0], row[1]): (row[2], row[3]) for row in message.wanted},
+            in_use={(row[0], row[1]): row[2] for row in message.in_use},
+            now_ms=now_ms,
+        )
+        if message.wanted:
+            self._wake.set()
+
+    # The engine
+
+    async def _run_engine(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except LinkLost as error:
+                log(Event.REPORT_FAILED, engine=self._settings.engine, error=str(error))
+            pause_ms = BUSY_POLL_MS if self._places.is_expecting() else IDLE_POLL_MS
+            try:
+                async with asyncio.timeout(pause_ms / 1000):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def _step(self) -> None:
+        """Read a report, give the orders that are due, and tell entries of changes."""
+        report = await self._engine.report()
+        now_ms = monotonic_ms()
+        self._places.reported(report, now_ms)
+        self._tell(report, now_ms)
+        if self._endpoint_id is None or self._endpoint_id[0] != report.started_ms:
+            return
+        await self._order(self._endpoint_id[1])
+
+    async def _order(self, endpoint_id: str) -> None:
+        order = self._places.next_order(monotonic_ms())
+        if order is None:
+            return
+        began_ms = monotonic_ms()
+        result = await self._engine.order(
+            order, endpoint_id=endpoint_id, holder=self._settings.vm, fence=self._places.fence
+        )
+        now_ms = monotonic_ms()
+        self._places.answered(result, now_ms)
+        log(
+            Event.ORDER_ANSWERED,
+            kind=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            version=order.version,
+            expected=order.expected_sequence,
+            fence=self._places.fence,
+            result=result.value,
+            took_ms=round(now_ms - began_ms),
+        )
+        self._metrics.count("orders_total", f"{order.kind.value}-{result.value}")
+        # The next report shows the order's effect, and may make room for another at once.
+        self._wake.set()
+
+    def _tell(self, report: EngineReport, now_ms: float) -> None:
+        spare = self._places.spare_places(now_ms)
+        told = (report.started_ms, report.resident, report.on_the_way)
+        if told == self._told and now_ms - self._told_ms < TELL_MS:
+            return
+        self._told, self._told_ms = told, now_ms
+        self._sequence += 1
+        message = EngineTold(
+            vm=self._settings.vm,
+            address=self._settings.peers,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            domain=self._settings.domain,
+            endpoint=self._settings.engine,
+            started_ms=report.started_ms,
+            resident=[[*name, version] for name, version in report.resident.items()],
+            on_the_way=[[*name, version] for name, version in report.on_the_way.items()],
+            spare_places=spare,
+        )
+        entries = [contact.address for contact in self._membership.alive("entry", now_ms)]
+        self._datagrams.send_to(message, entries)
+
+    async def _keep_membership(self) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            for address in self._membership.to_call(now_ms):
+                self._datagrams.send(self._roster(now_ms), address)
+            await asyncio.sleep(MEMBERSHIP_MS / 1000)
+
+    def _roster(self, now_ms: float) -> Roster:
+        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
+        return Roster(members=rows)
--- /dev/null
+++ b/src/skylarkrack/relay/_front.py
@@ -0,0 +1,136 @@
+"""Takes callers' requests, decides who may run what, and carries each through to its answer."""
+
+import asyncio
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack._events import Event, log
+from skylarkrack._metrics import Metrics
+from skylarkrack._tasks import Tasks
+from skylarkrack.core.relay import Member, Quota, Route, RoutingTable, Ticket, Usage
+from skylarkrack.relay._desk import Desk
+from skylarkrack.relay._dialect import Arrival, Dialect
+from skylarkrack.relay._exchange import Exchange, ExchangeParts
+from skylarkrack.relay._refusals import write_refusal
+from skylarkrack.web import Request, Responder
+
+UNREADY_RETRY_MS = 500
+"""When to come back to an entry that has no configuration yet."""
+
+MIN_QUOTA_RETRY_MS = 300
+"""Shortest time to come back after a quota was used up; others are returning too."""
+
+ANONYMOUS_PRIORITY = 0
+
+
+class Front:
+    """The callers' side of a relaying entry."""
+
+    __slots__ = ("_desk", "_dialect", "_metrics", "_parts", "_tasks", "_usage")
+
+    def __init__(self, *, desk: Desk, usage: Usage, parts: ExchangeParts, tasks: Tasks) -> None:
+        self._desk = desk
+        self._usage = usage
+        self._parts = parts
+        self._dialect: Dialect = parts.dialect
+        self._metrics: Metrics = parts.metrics
+        self._tasks = tasks
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        now_ms = monotonic_ms()
+        arrival = None
+        try:
+            arrival = self._dialect.arrival_of(request, now_ms)
+            ticket = self._admit(arrival, now_ms)
+        except RequestRefused as refusal:
+            self._refuse(responder, refusal, arrival)
+            return
+        exchange = Exchange(self._parts, request, responder, ticket)
+        running = self._tasks.spawn(exchange.run())
+        try:
+            await asyncio.shield(running)
+        except asyncio.CancelledError:
+            # The caller has left. What may not run twice and was sent runs to its end.
+            if not exchange.outlives_caller:
+                running.cancel()
+                await asyncio.wait((running,))
+            log(Event.CALLER_LEFT, request=ticket.call.request_id, state=exchange.state)
+            self._metrics.count("callers_left_total")
+            raise
+
+    def refuse_unread(self, responder: Responder, refusal: RequestRefused) -> None:
+        """Answer a request that could not be read."""
+        self._refuse(responder, refusal, None)
+
+    def _admit(self, arrival: Arrival, now_ms: float) -> Ticket:
+        table = self._desk.dispatcher.table
+        if table is None:
+            raise RequestRefused(
+                "no configuration yet",
+                code=Code.ACCESS_UNCONFIRMED,
+                retry_after_ms=UNREADY_RETRY_MS,
+            )
+        route = table.route_for(arrival.host, arrival.path)
+        if route is None:
+            raise RequestRefused("no such route", code=Code.NO_SUCH_PATH)
+        member = self._member_of(table, route, arrival)
+        if member is not None:
+            self._take_quota(member, arrival, now_ms)
+        priority = route.priority
+        if member is not None and member.priority is not None:
+            priority = member.priority
+        return Ticket(
+            call=arrival.call,
+            route=route,
+            service_name=route.service_for(arrival.call.request_id),
+            priority=priority,
+            ends_ms=arrival.call.ends_ms(route.timeout_ms),
+            organisation=None if member is None else member.name,
+        )
+
+    def _member_of(self, table: RoutingTable, route: Route, arrival: Arrival) -> Member | None:
+        if route.is_public or table.organisation_by_digest is None:
+            return None
+        if arrival.key is None:
+            raise RequestRefused("no key", code=Code.NO_KEY)
+        member = table.organisation_for(arrival.key)
+        if member is None:
+            raise RequestRefused("unknown key", code=Code.UNKNOWN_KEY)
+        return member
+
+    def _take_quota(self, member: Member, arrival: Arrival, now_ms: float) -> None:
+        cost = _cost_of(member.quota, arrival)
+        if self._usage.take(member.name, cost, member.quota, now_ms):
+            return
+        wait_ms = max(MIN_QUOTA_RETRY_MS, self._usage.wait_ms(member.name, member.quota))
+        raise RequestRefused(
+            f"the rate of {member.name} is used up",
+            code=Code.RATE_EXCEEDED,
+            retry_after_ms=round(wait_ms),
+        )
+
+    def _refuse(
+        self, responder: Responder, refusal: RequestRefused, arrival: Arrival | None
+    ) -> None:
+        request_id = None if arrival is None else arrival.call.request_id
+        table = self._desk.dispatcher.table
+        log(
+            Event.RELAY_REFUSED,
+            request=request_id,
+            code=int(refusal.code),
+            reason=str(refusal),
+            table=None if table is None else table.version,
+        )
+        self._metrics.count("refused_total", refusal.code.name.lower())
+        refusal.outcome = Outcome.NOT_RUN
+        write_refusal(responder, refusal, self._dialect.headers_of_own_answer(request_id))
+
+
+def _cost_of(quota: Quota, arrival: Arrival) -> float:
+    """Return what a request takes of its organisation's quota."""
+    if not quota.counts_tokens:
+        return 1.0
+    if arrival.call.need is None or not arrival.call.has_token_count:
+        return quota.plain_cost
+    return float(arrival.call.need.tokens)
--- /dev/null
+++ b/src/skylarkrack/relay/_log_sink.py
@@ -0,0 +1,115 @@
+"""A log sink that never blocks: lines wait in a bounded buffer, and what is over it is counted."""
+
+import asyncio
+import os
+from collections import deque
+
+MAX_WAITING_BYTES = 1_048_576
+"""Lines that may wait for a reader of the log that is slow or gone."""
+
+MAX_LINES_PER_S = 2000
+"""Lines of one second; an entry of today's sizes writes about a hundred."""
+
+MAX_WRITE_BYTES = 65_536
+
+
+class LogSink:
+    """Writes lines to a file descriptor when it takes them."""
+
+    __slots__ = (
+        "_descriptor",
+        "_is_watched",
+        "_lines",
+        "_loop",
+        "_second",
+        "_seen",
+        "_size",
+        "dropped",
+    )
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._is_watched = False
+        self._second = 0.0
+        self._seen = 0
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Write without blocking from now on, from the running loop."""
+        os.set_blocking(self._descriptor, False)
+        self._loop = asyncio.get_running_loop()
+
+    def write(self, line: str) -> None:
+        """Take a line; drop and count it where too many wait or came in this second."""
+        data = line.encode("utf-8", "replace")
+        if self._is_over_rate() or self._size + len(data) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            return
+        self._lines.append(data)
+        self._size += len(data)
+        if self._loop is None:
+            self._write_out()
+        elif not self._is_watched:
+            self._is_watched = True
+            self._loop.call_soon(self._write_out)
+
+    def close(self) -> None:
+        """Write what the descriptor still takes."""
+        if self._loop is not None:
+            self._unwatch()
+            self._loop = None
+        self._write_out()
+
+    def _is_over_rate(self) -> bool:
+        if self._loop is None:
+            return False
+        now_s = self._loop.time()
+        if now_s - self._second >= 1:
+            self._second, self._seen = now_s, 0
+        self._seen += 1
+        return self._seen > MAX_LINES_PER_S
+
+    def _write_out(self) -> None:
+        try:
+            while self._lines:
+                chunk = self._next_chunk()
+                written = os.write(self._descriptor, chunk)
+                self._size -= written
+                if written < len(chunk):
+                    self._lines.appendleft(chunk[written:])
+                    break
+        except BlockingIOError:
+            self._lines.appendleft(chunk)
+        except OSError:
+            # Nobody reads the log any more; its lines can only be counted.
+            self.dropped += 1 + len(self._lines)
+            self._lines.clear()
+            self._size = 0
+        self._watch()
+
+    def _next_chunk(self) -> bytes:
+        parts, size = [], 0
+        while self._lines and size < MAX_WRITE_BYTES:
+            parts.append(self._lines.popleft())
+            size += len(parts[-1])
+        return b"".join(parts)
+
+    def _watch(self) -> None:
+        if self._loop is None:
+            return
+        if self._lines:
+            self._loop.add_writer(self._descriptor, self._write_out)
+            self._is_watched = True
+        elif self._is_watched:
+            self._unwatch()
+
+    def _unwatch(self) -> None:
+        self._is_watched = False
+        try:
+            self._loop.remove_writer(self._descriptor)
+        except (OSError, ValueError):
+            # A regular file is never watched.
+            pass
--- /dev/null
+++ b/src/skylarkrack/relay/_settings.py
@@ -0,0 +1,25 @@
+"""Settings of the relaying processes; whoever knows the file's format fills them in."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelaySettings:
+    """What a relaying entry or an engine's agent has to know at its start.
+
+    Addresses are `IP:port`; those that a role does not listen on are None. *seeds* are peers'
+    addresses. *grace_ms* is the time from a planned stop's signal to the kill; *retry_slack* the
+    fleet's retries beyond its ratio in ten seconds. *max_age_ms* bounds what an engine's agent
+    may leave unsaid.
+    """
+
+    vm: str
+    domain: str
+    peers: str
+    seeds: tuple[str, ...]
+    grace_ms: float
+    retry_slack: float
+    callers: str | None = None
+    readiness: str | None = None
+    status: str | None = None
+    engine: str | None = None
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -1,20 +1,26 @@
 """A small HTTP/1.1 client on `h11`: pooled connections, streamed answers, bounded waits."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 
+from skylarkrack._addresses import split_address
 from skylarkrack._errors import LinkLost
-from skylarkrack._settings import split_address
+from skylarkrack.web._connection import ClientConnection
 
-READ_BYTES = 65_536
 MAX_IDLE = 8
 """Connections kept open without a request."""
 
+KEPT_PART = 0.7
+"""Part of the told keep-alive time for which a connection is used again; both ends may be late."""
+
 MAX_WHOLE_BYTES = 4_194_304
 """Bound on an answer that is read whole."""
 
+MAX_SKIPPED_ANSWERS = 4
+"""Answers to earlier requests that are passed over on one connection."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -23,7 +29,9 @@
 
     __slots__ = ("_client", "_connection", "_is_done", "headers", "status")
 
-    def __init__(self, client: "HttpClient", connection: "_Connection", head: h11.Response) -> None:
+    def __init__(
+        self, client: "HttpClient", connection: ClientConnection, head: h11.Response
+    ) -> None:
         self._client = client
         self._connection = connection
         self._is_done = False
@@ -64,13 +72,14 @@
 
 
 class HttpClient:
-    """Requests to one address."""
+    """Requests to one address; *max_idle* connections are kept for later ones."""
 
-    __slots__ = ("_host", "_idle", "_port")
+    __slots__ = ("_host", "_idle", "_max_idle", "_port")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, max_idle: int = MAX_IDLE) -> None:
         self._host, self._port = split_address(address)
-        self._idle: list[_Connection] = []
+        self._idle: list[ClientConnection] = []
+        self._max_idle = max_idle
 
     async def request(
         self,
@@ -80,25 +89,33 @@
         headers: Headers = (),
         body: bytes = b"",
         timeout_ms: float,
+        connect_timeout_ms: float | None = None,
         fresh: bool = False,
+        max_idle_ms: float | None = None,
+        is_own: Callable[[Headers], bool] | None = None,
     ) -> ClientResponse:
         """Send a request and return its answer once the head is there.
 
-        *fresh* takes a new connection, so that a refusal to connect proves that nothing was sent.
+        *fresh* takes a new connection, so that a refusal to connect proves that nothing was sent;
+        *max_idle_ms* bounds how long a connection may have been idle. *is_own* tells from an
+        answer's headers whether it belongs to this request; others are passed over.
         Raises `LinkLost`.
         """
-        connection = await self._connect(timeout_ms, fresh=fresh)
+        connection = None if fresh else self._take_idle(max_idle_ms)
+        if connection is None:
+            connection = await self._connect(connect_timeout_ms or timeout_ms)
         try:
             connection.send(self._head(method, target, headers, body), body)
-            head = await connection.next_head(timeout_ms)
+            head = await _own_head(connection, timeout_ms, is_own)
         except BaseException:
             connection.close()
             raise
         return ClientResponse(self, connection, head)
 
-    def put_back(self, connection: "_Connection") -> None:
+    def put_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose answer was read to its end."""
-        if len(self._idle) < MAX_IDLE and connection.renew():
+        now_s = asyncio.get_running_loop().time()
+        if len(self._idle) < self._max_idle and connection.renew(now_s):
             self._idle.append(connection)
         else:
             connection.close()
@@ -109,116 +126,45 @@
             connection.close()
         self._idle.clear()
 
-    async def _connect(self, timeout_ms: float, *, fresh: bool) -> "_Connection":
-        while self._idle and not fresh:
+    def _take_idle(self, max_idle_ms: float | None) -> ClientConnection | None:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable:
+            is_recent = (
+                max_idle_ms is None or (now_s - connection.idle_since_s) * 1000 < max_idle_ms
+            )
+            if is_recent and connection.is_usable and connection.is_kept(now_s, part=KEPT_PART):
                 return connection
             connection.close()
+        return None
+
+    async def _connect(self, timeout_ms: float) -> ClientConnection:
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                reader, writer = await asyncio.open_connection(self._host, self._port)
+                _, connection = await loop.create_connection(
+                    ClientConnection, self._host, self._port
+                )
         except (OSError, TimeoutError) as error:
             raise LinkLost(f"no connection: {error!r}", sent=False) from error
-        return _Connection(reader, writer)
+        return connection
 
     def _head(self, method: str, target: str, headers: Headers, body: bytes) -> h11.Request:
-        fixed = [
-            (b"host", f"{self._host}:{self._port}".encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
+        fixed = [(b"content-length", str(len(body)).encode())]
+        if not any(name == b"host" for name, _ in headers):
+            fixed.append((b"host", f"{self._host}:{self._port}".encode()))
         return h11.Request(method=method, target=target, headers=[*fixed, *headers])
 
 
-class _Connection:
-    """One connection, with one timer that drops it when a read waits too long.
-
-    A time-out of its own for each read would cost more than the read: there is one a token.
-    """
-
-    __slots__ = ("_h11", "_limit_s", "_reader", "_timer", "_waiting_since_s", "_writer")
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._h11 = h11.Connection(h11.CLIENT)
-        self._reader = reader
-        self._writer = writer
-        self._limit_s = 0.0
-        self._waiting_since_s: float | None = None
-        self._timer: asyncio.TimerHandle | None = None
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether the other end still seems to be there."""
-        return not self._reader.at_eof() and not self._writer.transport.is_closing()
-
-    def send(self, head: h11.Request, body: bytes) -> None:
-        """Write a whole request."""
-        data = self._h11.send(head)
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        self._writer.write(data + (self._h11.send(h11.EndOfMessage()) or b""))
-
-    async def next_head(self, timeout_ms: float) -> h11.Response:
-        """Return the head of the answer, interim ones left out."""
-        while True:
-            event = await self.next_event(timeout_ms)
-            if isinstance(event, h11.Response):
-                return event
-
-    async def next_event(self, timeout_ms: float) -> object:
-        """Return the parser's next event, or raise `LinkLost`."""
-        try:
-            event = self._h11.next_event()
-            while event is h11.NEED_DATA:
-                self._h11.receive_data(await self._read(timeout_ms / 1000))
-                event = self._h11.next_event()
-        except (OSError, h11.RemoteProtocolError) as error:
-            self.close()
-            raise LinkLost(f"broken answer: {error!r}", sent=True) from error
-        if isinstance(event, h11.ConnectionClosed):
-            self.close()
-            raise LinkLost("closed before the end", sent=True)
-        return event
-
-    async def _read(self, limit_s: float) -> bytes:
-        """Return the next bytes; empty at the end, also where the timer has made it."""
-        loop = asyncio.get_running_loop()
-        self._waiting_since_s = loop.time()
-        if self._timer is None or limit_s < self._limit_s:
-            self._arm(loop, limit_s)
-        self._limit_s = limit_s
-        try:
-            return await self._reader.read(READ_BYTES)
-        finally:
-            self._waiting_since_s = None
-
-    def _arm(self, loop: asyncio.AbstractEventLoop, delay_s: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = loop.call_later(delay_s, self._check, loop)
-
-    def _check(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Drop the connection if the read under way has reached its limit, else look again."""
-        self._timer = None
-        if self._waiting_since_s is None or self._writer.transport.is_closing():
-            return
-        left_s = self._waiting_since_s + self._limit_s - loop.time()
-        if left_s > 0:
-            self._arm(loop, left_s)
-        else:
-            self._writer.transport.abort()
-
-    def renew(self) -> bool:
-        """Make the connection ready for another request; tell whether it can be."""
-        try:
-            self._h11.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return self.is_usable
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        self._writer.close()
+async def _own_head(
+    connection: ClientConnection, timeout_ms: float, is_own: Callable[[Headers], bool] | None
+) -> h11.Response:
+    """Return the head of the answer that belongs to the request; pass over earlier ones."""
+    for _ in range(MAX_SKIPPED_ANSWERS):
+        head = await connection.next_head(timeout_ms)
+        if is_own is None or is_own(head.headers):
+            return head
+        while not isinstance(await connection.next_event(timeout_ms), h11.EndOfMessage):
+            pass
+        connection.skip_answer()
+    raise LinkLost("answers to other requests only", sent=True)
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -6,13 +6,16 @@
 
 import h11
 
+from skylarkrack._addresses import split_address
 from skylarkrack._errors import Code, Outcome, RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack._settings import LimitSettings, split_address
 
 READ_BYTES = 65_536
 DRAIN_POLL_MS = 20
 
+LISTEN_BACKLOG = 1024
+"""Connections that may wait to be accepted; a refused one is tried again only after seconds."""
+
 MAX_UNSENT_BYTES = 4_194_304
 """Bytes of an answer that may wait for a caller that does not read."""
 
@@ -22,6 +25,17 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimits:
+    """Bounds on what one caller may send, how slowly, and how long a connection may be idle."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 2_097_152
+    read_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 10_000
+    connections: int = 4096
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
     """A whole request. Header names are in lower case."""
@@ -127,6 +141,7 @@
         "_connections",
         "_handler",
         "_is_closing",
+        "_is_leaving",
         "_limits",
         "_name",
         "_refuse",
@@ -134,7 +149,7 @@
     )
 
     def __init__(
-        self, handler: Handler, *, refuse: Refuser, limits: LimitSettings, name: str
+        self, handler: Handler, *, refuse: Refuser, limits: ServerLimits, name: str
     ) -> None:
         self._handler = handler
         self._refuse = refuse
@@ -143,12 +158,23 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._is_closing = False
+        self._is_leaving = False
 
     async def start(self, address: str) -> None:
         """Listen on *address*."""
         host, port = split_address(address)
         limit = self._limits.head_bytes
-        self._server = await asyncio.start_server(self._serve, host, port, limit=limit)
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=limit, backlog=LISTEN_BACKLOG
+        )
+
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Put other bounds in force, also for connections that are open."""
+        self._limits = limits
+
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, and go on accepting meanwhile."""
+        self._is_leaving = True
 
     async def drain(self) -> None:
         """Stop accepting, close idle connections, and wait for the answers under way."""
@@ -175,7 +201,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether connections are to be closed after their answer."""
-        return self._is_closing
+        return self._is_closing or self._is_leaving
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self._connections) >= self._limits.connections or self._is_closing:
@@ -340,8 +366,9 @@
             await self._feed()
 
     async def _feed(self) -> None:
-        timeout_ms = self._server._limits.read_timeout_ms
+        limits = self._server._limits
         started = self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0]
+        timeout_ms = limits.read_timeout_ms if started else limits.idle_timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 data = await self._reader.read(READ_BYTES)
--- a/src/skylarkrack/wire/__init__.py
+++ b/src/skylarkrack/wire/__init__.py
@@ -1,6 +1,6 @@
 """Streams of `msgpack` frames between the processes of the system."""
 
-from skylarkrack.wire._codec import MAX_FRAME_BYTES, FrameDecoder, decode, encode
+from skylarkrack.wire._codec import MAX_FRAME_BYTES, FrameDecoder, decode, encode, encode_body
 from skylarkrack.wire._link import Link, LinkOwner, accept_links, dial
 
 __all__ = [
@@ -12,4 +12,5 @@
     "decode",
     "dial",
     "encode",
+    "encode_body",
 ]
--- a/src/skylarkrack/wire/_codec.py
+++ b/src/skylarkrack/wire/_codec.py
@@ -43,6 +43,10 @@
     26: messages.Confirmed,
     27: messages.TicketRequest,
     28: messages.Ticket,
+    29: messages.Roster,
+    30: messages.RelayState,
+    31: messages.AdapterDemand,
+    32: messages.EngineTold,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in _TYPE_BY_NUMBER.items()}
 _NAMES_BY_TYPE = {kind: tuple(f.name for f in fields(kind)) for kind in _NUMBER_BY_TYPE}
@@ -51,10 +55,15 @@
 
 def encode(message: object) -> bytes:
     """Return the frame of *message*."""
+    body = encode_body(message)
+    return _LENGTH.pack(len(body)) + body
+
+
+def encode_body(message: object) -> bytes:
+    """Return *message* without the length, as it goes into a datagram."""
     kind = type(message)
     row = [_NUMBER_BY_TYPE[kind], *(getattr(message, name) for name in _NAMES_BY_TYPE[kind])]
-    body = msgpack.packb(row)
-    return _LENGTH.pack(len(body)) + body
+    return msgpack.packb(row)
 
 
 def decode(body: bytes) -> object:
--- a/src/skylarkrack/wire/_link.py
+++ b/src/skylarkrack/wire/_link.py
@@ -11,10 +11,10 @@
 from functools import singledispatchmethod
 from typing import Protocol
 
+from skylarkrack._addresses import split_address
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import FrameRejected
 from skylarkrack._events import Event, log
-from skylarkrack._settings import split_address
 from skylarkrack.messages import PROTOCOL_VERSION, Hello, Ping, Pong
 from skylarkrack.wire._codec import FrameDecoder, encode
 
--- a/standins/_base.py
+++ b/standins/_base.py
@@ -7,11 +7,10 @@
 from dataclasses import replace
 
 from skylarkrack._errors import RequestRefused
-from skylarkrack._settings import LimitSettings
-from skylarkrack.web import HttpServer, Request, Responder
+from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
 
 JSON = (b"content-type", b"application/json")
-LIMITS = LimitSettings(body_bytes=16_777_216, read_timeout_ms=120_000)
+LIMITS = ServerLimits(body_bytes=16_777_216, read_timeout_ms=120_000, idle_timeout_ms=120_000)
 
 
 class StandIn:
--- a/standins/run.py
+++ b/standins/run.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from skylarkrack._settings import split_address
+from skylarkrack._addresses import split_address
 from standins.fleet import Fleet, key_of
 
 LONG_ANSWER_TOKENS = 2000
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from skylarkrack._settings import split_address
+from skylarkrack._addresses import split_address
 from standins.fleet import Fleet, key_of
 from standins.run import bearer
 from tests.shared_fleet import shared_fleet, wait_for
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,8 +6,8 @@
 import unittest
 from collections.abc import Coroutine
 
+from skylarkrack._addresses import split_address
 from skylarkrack._errors import LinkLost
-from skylarkrack._settings import split_address
 from standins.fleet import Fleet, FleetShape, key_of
 from standins.run import bearer, chat
 
