--- a/src/skylarkrack/core/relay/_usage.py
+++ b/src/skylarkrack/core/relay/_usage.py
@@ -26,19 +26,30 @@
 
 @dataclass(slots=True)
 class _Level:
+    """One bucket. *charged_by_peer* is what was taken for entries that are silent."""
+
     quota: Quota
     level: float
     at_ms: float
+    charged_by_peer: dict[str, float] = field(default_factory=dict)
 
-    def advance(self, now_ms: float, *, drain_per_s: float) -> None:
+    def advance(self, now_ms: float, *, silent: list[str], part_per_s: float) -> None:
         elapsed_s = max(0.0, now_ms - self.at_ms) / 1000
         self.at_ms = max(self.at_ms, now_ms)
-        level = self.level + (self.quota.rate_per_s - drain_per_s) * elapsed_s
-        self.level = min(self.quota.burst, level)
+        for peer in silent:
+            charge = part_per_s * elapsed_s
+            self.charged_by_peer[peer] = self.charged_by_peer.get(peer, 0.0) + charge
+        rate = self.quota.rate_per_s - part_per_s * len(silent)
+        self.level = min(self.quota.burst, self.level + rate * elapsed_s)
 
     def take(self, amount: float) -> None:
         self.level = max(self.level - amount, -MAX_DEBT_S * self.quota.rate_per_s)
 
+    def settle(self, peer: str, granted: float) -> None:
+        """Replace what was charged for a silent entry by what it granted."""
+        self.level = min(self.quota.burst, self.level + self.charged_by_peer.pop(peer, 0.0))
+        self.take(granted)
+
 
 @dataclass(slots=True)
 class _Peer:
@@ -101,7 +112,7 @@
         for organisation, total in granted.items():
             level = self._level_by_organisation.get(organisation)
             if level is not None and known is not None:
-                level.take(total - before.get(organisation, 0.0))
+                level.settle(peer, total - before.get(organisation, 0.0))
         self._peer_by_name[peer] = _Peer(incarnation, now_ms, granted)
 
     def forget_silent(self, now_ms: float) -> None:
@@ -115,11 +126,13 @@
         if level is None:
             level = _Level(quota, quota.burst * START_PART, now_ms)
             self._level_by_organisation[organisation] = level
-        silent = sum(
-            now_ms - peer.heard_ms > SILENT_AFTER_MS for peer in self._peer_by_name.values()
-        )
+        silent = [
+            name
+            for name, peer in self._peer_by_name.items()
+            if now_ms - peer.heard_ms > SILENT_AFTER_MS
+        ]
         part = quota.rate_per_s / (len(self._peer_by_name) + 1)
-        level.advance(now_ms, drain_per_s=part * silent)
+        level.advance(now_ms, silent=silent, part_per_s=part)
         if level.quota != quota:
             level.quota = quota
             level.level = min(level.level, quota.burst)
--- a/src/skylarkrack/platform/_documents.py
+++ b/src/skylarkrack/platform/_documents.py
@@ -45,13 +45,13 @@
     """Return the routing table in a configuration."""
     document = decode_json(data)
     services = [_service(item) for item in _list(document, "services")]
-    tenants = document.get("tenants")
+    has_keys = document.get("tenants") is not None
     return RoutingTable(
         version=_whole(document, "version"),
         routes_by_host=by_host([_route(item) for item in _list(document, "routes")]),
         service_by_name={service.name: service for service in services},
-        organisation_by_digest=None if tenants is None else _organisations(tenants),
-        limits=_limits(document.get("limits") or {}),
+        organisation_by_digest=_organisations(_list(document, "tenants")) if has_keys else None,
+        limits=_limits(_object(document, "limits")),
     )
 
 
@@ -96,8 +96,8 @@
     for model, adapters in held.items():
         resident |= {(model, adapter): version for adapter, version in adapters.items()}
     on_the_way = {}
-    for text in document.get("coming") or []:
-        model, _, rest = str(text).partition("/")
+    for text in _list_of_text(document, "coming"):
+        model, _, rest = text.partition("/")
         adapter, version = _adapter(rest)
         on_the_way[model, adapter] = version
     return EngineReport(
@@ -112,7 +112,7 @@
 def _held(models: list[dict]) -> dict[str, dict[str, int]]:
     held = {}
     for model in models:
-        names = [str(text) for text in model.get("adapters") or []]
+        names = _list_of_text(model, "adapters")
         held[_text(model, "name")] = dict(_adapter(text) for text in names)
     return held
 
@@ -149,7 +149,7 @@
 
 def _shares(item: dict) -> tuple[tuple[str, float], ...]:
     """Return the services of a route: one, or a split by weight."""
-    split = item.get("traffic-split")
+    split = _list(item, "traffic-split")
     if not split:
         return ((_text(item, "service"), 1.0),)
     shares = tuple((_text(part, "service"), _number(part, "weight", 0.0)) for part in split)
@@ -159,11 +159,11 @@
 
 
 def _service(item: dict) -> Service:
-    engine = item.get("engine")
+    engine = _object(item, "engine")
     return Service(
         name=_text(item, "name"),
         max_connections=int(_number(item, "max-conns", 100.0)),
-        engine=None if engine is None else _engine(engine),
+        engine=_engine(engine) if engine else None,
     )
 
 
@@ -186,7 +186,7 @@
     )
 
 
-def _organisations(tenants: list) -> dict[bytes, Member]:
+def _organisations(tenants: list[dict]) -> dict[bytes, Member]:
     member_by_digest = {}
     for item in tenants:
         quota = Quota(
@@ -239,6 +239,13 @@
     return float(value)
 
 
+def _object(item: dict, key: str) -> dict:
+    value = item.get(key) or {}
+    if not isinstance(value, dict):
+        raise DocumentRejected(f"{key} is no object")
+    return value
+
+
 def _list(item: dict, key: str) -> list[dict]:
     value = item.get(key) or []
     if not isinstance(value, list) or not all(isinstance(part, dict) for part in value):
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -154,9 +154,8 @@
 
     async def drain(self) -> None:
         """Stop as planned: let the balancer turn away, then finish what is under way."""
-        self._is_leaving = True
         log(Event.DRAIN_STARTED, requests=len(self._dispatcher.load.own()))
-        self._callers.announce_close()
+        self.announce_close()
         await asyncio.sleep(STILL_ACCEPTING_MS / 1000)
         left_ms = self._settings.grace_ms - STILL_ACCEPTING_MS - CLOSING_MS
         try:
@@ -165,6 +164,11 @@
         except TimeoutError:
             log(Event.STREAM_CUT, reason="the grace of a planned stop is over")
 
+    def announce_close(self) -> None:
+        """Call this entry unready, and close each connection after its next answer."""
+        self._is_leaving = True
+        self._callers.announce_close()
+
     async def close(self) -> None:
         """Close everything."""
         self._desk.close()
@@ -178,6 +182,11 @@
         """Take what may change while the process runs: the seeds."""
         self._membership.set_seeds(settings.seeds)
 
+    @property
+    def callers_at(self) -> tuple[str, int]:
+        """Host and port that callers reach."""
+        return self._callers.listens_at
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -61,14 +61,18 @@
 class Responder:
     """Writes one answer; whoever holds it may write until `end` or `cut`."""
 
-    __slots__ = ("_connection", "_has_ended", "_keep_alive", "_out", "_writer", "has_started")
+    __slots__ = ("_connection", "_has_ended", "_may_keep_alive", "_out", "_writer", "has_started")
 
     def __init__(
-        self, connection: h11.Connection, writer: asyncio.StreamWriter, *, keep_alive: bool
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        *,
+        may_keep_alive: Callable[[], bool],
     ) -> None:
         self._connection = connection
         self._writer = writer
-        self._keep_alive = keep_alive
+        self._may_keep_alive = may_keep_alive
         self._has_ended = False
         self._out: list[bytes] = []
         self.has_started = False
@@ -86,7 +90,7 @@
     def start(self, status: int, headers: Headers) -> None:
         """Write status and headers; without a content length the body is chunked."""
         self.has_started = True
-        if not self._keep_alive:
+        if not self._may_keep_alive():
             headers = [*headers, (b"connection", b"close")]
         self._queue(h11.Response(status_code=status, headers=headers))
 
@@ -168,6 +172,11 @@
             self._serve, host, port, limit=limit, backlog=LISTEN_BACKLOG
         )
 
+    @property
+    def listens_at(self) -> tuple[str, int]:
+        """Host and port, also where the system chose the port."""
+        return self._server.sockets[0].getsockname()[:2]
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Put other bounds in force, also for connections that are open."""
         self._limits = limits
@@ -260,11 +269,12 @@
             return False
         if request is None:
             return False
-        keep_alive = not self._server.is_closing
-        responder = Responder(self._h11, self._writer, keep_alive=keep_alive)
+        responder = Responder(
+            self._h11, self._writer, may_keep_alive=lambda: not self._server.is_closing
+        )
         await self._handle(request, responder)
         self._idle = True
-        if not responder.has_ended or not keep_alive:
+        if not responder.has_ended or self._server.is_closing:
             return False
         return self._next_cycle()
 
@@ -342,6 +352,9 @@
                 raise _malformed(f"two headers {name.decode()}")
         if b"content-length" in names and b"transfer-encoding" in names:
             raise _malformed("two lengths")
+        size = len(head.target) + sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if size > self._server._limits.head_bytes:
+            raise _malformed("the head is too large", code=Code.HEAD_TOO_LARGE)
         if not head.target.startswith(b"/"):
             raise _malformed("the target is no path")
         for name, value in head.headers:
@@ -383,7 +396,7 @@
         log(Event.BAD_CALLER, server=self._server._name, code=int(refusal.code))
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(self._h11, self._writer, keep_alive=False)
+        responder = Responder(self._h11, self._writer, may_keep_alive=lambda: False)
         self._server._refuse(responder, refusal)
 
 
--- a/standins/_base.py
+++ b/standins/_base.py
@@ -24,6 +24,11 @@
         """Listen on *address*."""
         await self._server.start(address)
 
+    @property
+    def listens_at(self) -> tuple[str, int]:
+        """Host and port, also where the system chose the port."""
+        return self._server.listens_at
+
     async def close(self) -> None:
         """Stop listening and drop every connection."""
         await self._server.close()
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,99 @@
+"""A stand-in for the users' platform store: keys read and watched over HTTP, with faults."""
+
+import asyncio
+import base64
+from dataclasses import dataclass
+
+from skylarkrack.web import Request, Responder
+from standins._base import StandIn, write_json
+
+PAGE_ITEMS = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreFaults:
+    """What goes wrong: a status instead of answers, silence, lost answers, dropped history."""
+
+    status: int = 0
+    silent: bool = False
+    lose_answers: int = 0
+    history_lost: bool = False
+    garbage: bool = False
+
+
+class PlatformStore(StandIn):
+    """Items with revisions; a test writes them by `put` and `remove`."""
+
+    def __init__(self) -> None:
+        super().__init__(StoreFaults())
+        self.revision = 1
+        self.calls: list[str] = []
+        self._item_by_key: dict[str, dict] = {}
+        self._log: list[dict] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": self.revision,
+            "create-revision": self.revision,
+            "lease": 0,
+        }
+        self._item_by_key[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self._item_by_key[key]
+        self._note({"key": key, "rev": self.revision, "removed": True})
+
+    def _note(self, event: dict) -> None:
+        self._log.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer a range or a watch."""
+        self.calls.append(request.path)
+        if self.faults.silent:
+            await asyncio.Event().wait()
+        if self.faults.status:
+            write_json(responder, {}, status=self.faults.status)
+            return
+        if self.faults.garbage:
+            responder.whole(200, [], b"[1, 2")
+            return
+        query = dict(part.split("=") for part in request.target.partition("?")[2].split("&"))
+        prefix = query["prefix"].replace("%2F", "/")
+        if request.path == "/kv-range":
+            self._range(responder, prefix, query.get("after", "").replace("%2F", "/"))
+        else:
+            await self._watch(responder, prefix, int(query["after"]), int(query["wait-ms"]))
+
+    def _range(self, responder: Responder, prefix: str, after: str) -> None:
+        keys = sorted(k for k in self._item_by_key if k.startswith(prefix) and k > after)
+        items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        write_json(responder, {"items": items, "has-more": more, "as-of": self.revision})
+
+    async def _watch(self, responder: Responder, prefix: str, after: int, wait_ms: int) -> None:
+        if self.faults.history_lost:
+            write_json(responder, {}, status=410)
+            return
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while not self._events(prefix, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        if self.faults.lose_answers:
+            responder.cut()
+            return
+        write_json(responder, {"events": self._events(prefix, after), "as-of": self.revision})
+
+    def _events(self, prefix: str, after: int) -> list[dict]:
+        return [e for e in self._log if e["rev"] > after and e["key"].startswith(prefix)]
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,198 @@
+"""A stand-in for an endpoint on the users' platform, answering as its script says."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+Reply = Callable[["Received", asyncio.StreamWriter], Awaitable[bool]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Received:
+    """A request as it came: *headers* by lower-case name."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformWorker:
+    """A server whose replies are byte for byte those of *script*, the last one for good.
+
+    A reply returns whether the connection stays open.
+    """
+
+    script: list[Reply]
+    received: list[Received] = field(default_factory=list)
+    connections: int = 0
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+    address: str = ""
+    first_received: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop listening, and end the replies under way."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            while (request := await _read(reader)) is not None:
+                self.received.append(request)
+                self.first_received.set()
+                reply = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                if not await reply(request, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # A stream server would report a cancelled task as a fault of its own.
+            pass
+        finally:
+            self._tasks.discard(task)
+            self.closed.set()
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Received | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method=method, target=target, headers=headers, body=body)
+
+
+def answer(
+    body: bytes = b"done",
+    *,
+    status: str = "200 OK",
+    sealed: bool = True,
+    request_id: str | None = None,
+    extra: str = "",
+    length: int | None = None,
+    keep: bool = True,
+) -> Reply:
+    """Return a reply with a length; *extra* holds more header lines, each with its line end."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        shown = request.headers.get("x-attempt-id", "") if request_id is None else request_id
+        seal = "X-Response-Seal: seal-of-" + shown + "\r\n" if sealed else ""
+        size = len(body) if length is None else length
+        head = f"HTTP/1.1 {status}\r\nX-Attempt-Id: {shown}\r\n{seal}{extra}"
+        writer.write(f"{head}Content-Length: {size}\r\n\r\n".encode() + body)
+        await writer.drain()
+        return keep
+
+    return reply
+
+
+def refusal(status: str = "503 Service Unavailable") -> Reply:
+    """Return an endpoint's word that it did not run the request."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        writer.write(
+            f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        await writer.drain()
+        return True
+
+    return reply
+
+
+def stream(*events: bytes, ends: bool = True) -> Reply:
+    """Return a stream of *events*; without *ends* it breaks off after them."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        shown = request.headers.get("x-attempt-id", "")
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {shown}\r\nX-Response-Seal: s\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for event in events:
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        if ends:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return ends
+
+    return reply
+
+
+def without_length(body: bytes, *, resets: bool) -> Reply:
+    """Return a reply that ends with its connection, cleanly or by a reset."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        shown = request.headers.get("x-attempt-id", "")
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {shown}\r\nX-Response-Seal: s\r\n\r\n".encode()
+            + body
+        )
+        await writer.drain()
+        if resets:
+            await asyncio.sleep(0.05)
+            _reset(writer)
+        return False
+
+    return reply
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the other end sees a reset and no clean end."""
+    linger = struct.pack("ii", 1, 0)
+    connected = writer.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def resumable(events: tuple[bytes, ...], *, breaks_after: int) -> Reply:
+    """Return a stream that goes on after the event the caller names; a first run breaks off."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        seen = int(request.headers.get("last-event-id", "0"))
+        if seen:
+            return await stream(*events[seen:])(request, writer)
+        return await stream(*events[:breaks_after], b"id: 9\nda", ends=False)(request, writer)
+
+    return reply
+
+
+def silence() -> Reply:
+    """Return no reply at all; the connection stays open until the other end closes it."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        return True
+
+    return reply
+
+
+def both(first: Reply, second: Reply) -> Reply:
+    """Return two replies to one request, the second of which nobody asked for."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        return await first(request, writer) and await second(request, writer)
+
+    return reply
--- /dev/null
+++ b/tests/platform_builders.py
@@ -0,0 +1,150 @@
+"""Builders of the platform's documents and of an entry that speaks with stand-ins."""
+
+import asyncio
+import json
+
+from skylarkrack.core.relay import Endpoint, EngineHeard
+from skylarkrack.platform._documents import decode_table
+from skylarkrack.platform._headers import PlatformDialect
+from skylarkrack.relay import RelayEntry, RelaySettings
+from standins.platform_worker import PlatformWorker
+from tests.relay_builders import MODEL, state
+
+KEY = "key-of-singers"
+
+
+def config(version: int = 1, **changes: object) -> dict:
+    """Return a configuration with a stream, a resumable stream, a lookup and a payment."""
+    base = {"host": "a.example", "max-attempts": 2, "priority": 1, "public": False}
+    document = {
+        "version": version,
+        "routes": [
+            {**base, "name": "chat", "prefix": "/chat/", "kind": "streaming", "service": "llm",
+             "timeout-ms": 2000, "target-latency-ms": 600, "max-attempts": 1},
+            {**base, "name": "draft", "prefix": "/draft/", "kind": "streaming", "service": "llm",
+             "timeout-ms": 2000, "target-latency-ms": 600, "resumable": True},
+            {**base, "name": "look", "prefix": "/look/", "kind": "safe", "service": "desk",
+             "timeout-ms": 800, "target-latency-ms": 300},
+            {**base, "name": "pay", "prefix": "/pay/", "kind": "unsafe", "service": "desk",
+             "timeout-ms": 800, "target-latency-ms": 300, "max-attempts": 1},
+            {**base, "name": "open", "prefix": "/open/", "kind": "safe", "public": True,
+             "timeout-ms": 800, "traffic-split": [{"service": "desk", "weight": 1}]},
+        ],
+        "services": [
+            {"name": "llm", "max-conns": 250, "engine": {
+                "slots": 4, "kv-capacity": 10000, "adapter-slots": 3, "weights-mb": 200.0,
+                "models": [{"name": MODEL, "weights-mb": 100.0, "load-time-s": 1.9,
+                            "adapters": 9, "adapter-mb": 1.0}]}},
+            {"name": "desk", "max-conns": 100},
+        ],
+        "limits": {"max-header-bytes": 4096, "max-body-bytes": 20000,
+                   "header-timeout-ms": 300, "idle-timeout-ms": 1000},
+        "tenants": [{"name": "singers", "api-keys": [KEY], "unit": "tokens", "plain-tokens": 200,
+                     "rate-per-s": 100000, "burst": 100000}],
+    }  # fmt: skip
+    return {**document, **changes}
+
+
+def registration(address: str, **changes: object) -> dict:
+    """Return a registration of an endpoint of the service `desk`."""
+    fields = {"service": "desk", "addr": address, "zone": "east", "version": "v1", "slots": 6,
+              "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1000}  # fmt: skip
+    return {**fields, **changes}
+
+
+def as_bytes(document: object) -> bytes:
+    """Return the JSON of *document*."""
+    return json.dumps(document).encode()
+
+
+class Rig:
+    """An entry in this process, with stand-ins behind it and raw bytes before it."""
+
+    def __init__(self, *workers: PlatformWorker, service: str = "desk") -> None:
+        self.workers = workers
+        self._service = service
+        settings = RelaySettings(
+            vm="entry-1",
+            domain="east",
+            peers="127.0.0.1:0",
+            seeds=(),
+            grace_ms=8000.0,
+            retry_slack=50.0,
+            callers="127.0.0.1:0",
+            readiness="127.0.0.1:0",
+        )
+        self.entry = RelayEntry(settings, dialect=PlatformDialect(), incarnation="i1")
+
+    async def __aenter__(self) -> "Rig":
+        for worker in self.workers:
+            await worker.start()
+        await self.entry.start()
+        self.entry.table_published(decode_table(as_bytes(config())))
+        self.list_workers()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.entry.close()
+        for worker in self.workers:
+            await worker.close()
+
+    def list_workers(self) -> None:
+        """Register every worker; engines hold the adapter `a1`."""
+        endpoints = [
+            Endpoint(
+                endpoint_id=f"i-{index}",
+                service=self._service,
+                address=worker.address,
+                domain="east",
+                slots=6,
+                started_ms=1000,
+                adapters_by_model={MODEL: {"a1": 1}} if self._service == "llm" else None,
+            )
+            for index, worker in enumerate(self.workers)
+        ]
+        self.entry.endpoints_listed(endpoints, set())
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a caller's connection."""
+        return await asyncio.open_connection(*self.entry.callers_at)
+
+    async def ask(self, data: bytes, *, until_close: bool = True) -> bytes:
+        """Send bytes on a new connection, and return what comes until it closes."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        received = b""
+        try:
+            async with asyncio.timeout(5):
+                received = await reader.read(-1) if until_close else await reader.read(65536)
+        finally:
+            writer.close()
+        return received
+
+
+def request(
+    path: str = "/look/1",
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    request_id: str = "r1",
+    key: str | None = KEY,
+    headers: str = "",
+    keep: bool = False,
+) -> bytes:
+    """Return a caller's request; it asks for the connection's end unless *keep*."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: a.example", f"X-Attempt-Id: {request_id}"]
+    lines += [f"Authorization: Token {key}"] if key else []
+    lines += [f"Content-Length: {len(body)}"] if body else []
+    lines += [] if keep else ["Connection: close"]
+    return ("\r\n".join(lines) + "\r\n" + headers + "\r\n").encode() + body
+
+
+def model_request(path: str = "/chat/1", *, adapter: str = "a1", headers: str = "") -> bytes:
+    """Return a request for an adapter."""
+    fields = f"X-Model: {MODEL}/{adapter}\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: ab:10\r\n"
+    return request(path, method="POST", body=b"prompt", headers=fields + headers)
+
+
+def engine_heard(worker: PlatformWorker, *adapters: str) -> EngineHeard:
+    """Return what an agent would tell of *worker*."""
+    return EngineHeard(key=(worker.address, 1000), state=state(0.0, *adapters))
--- /dev/null
+++ b/tests/relay_builders.py
@@ -0,0 +1,147 @@
+"""Builders of the relay's data."""
+
+from skylarkrack.core.relay import (
+    Call,
+    Dispatcher,
+    Endpoint,
+    EngineHeard,
+    EngineReport,
+    EngineShape,
+    EngineState,
+    Member,
+    ModelNeed,
+    ModelShape,
+    Quota,
+    Route,
+    RoutingTable,
+    Service,
+    TablePublished,
+    Ticket,
+    by_host,
+    digest_of_key,
+)
+
+KEY = "key-of-singers"
+MODEL = "base"
+
+
+def quota(**changes: object) -> Quota:
+    """Return 1,000 tokens a second, and as many at once."""
+    fields = {"rate_per_s": 1000.0, "burst": 1000.0, "counts_tokens": True, "plain_cost": 200.0}
+    return Quota(**{**fields, **changes})
+
+
+def route(name: str = "chat", **changes: object) -> Route:
+    """Return a streamed route to the service `engines`."""
+    fields = {
+        "name": name,
+        "host": "a.example",
+        "prefix": f"/{name}/",
+        "shares": (("engines", 1.0),),
+        "is_stream": True,
+        "is_idempotent": False,
+        "is_public": False,
+        "timeout_ms": 12_000.0,
+        "objective_ms": 600.0,
+        "priority": 1,
+        "max_endpoints": 1,
+    }
+    return Route(**{**fields, **changes})
+
+
+def engine_shape(**changes: object) -> EngineShape:
+    """Return an engine with four slots, three places and one base model."""
+    model = ModelShape(name=MODEL, weights_mb=100.0, load_ms=1900.0, adapter_mb=1.0)
+    fields = {
+        "slots": 4,
+        "cache_tokens": 10_000,
+        "memory_mb": 200.0,
+        "adapter_places": 3,
+        "model_by_name": {MODEL: model},
+    }
+    return EngineShape(**{**fields, **changes})
+
+
+def table(version: int = 1, **changes: object) -> RoutingTable:
+    """Return a table with a route to engines, one to a desk, and the organisation `singers`."""
+    desk = route("fees", is_stream=False, shares=(("desk", 1.0),), timeout_ms=800.0)
+    lookup = route(
+        "badges", is_stream=False, shares=(("desk", 1.0),), is_idempotent=True, max_endpoints=2
+    )
+    member = Member(name="singers", priority=None, quota=quota())
+    fields = {
+        "version": version,
+        "routes_by_host": by_host([route(), desk, lookup]),
+        "service_by_name": {
+            "engines": Service(name="engines", max_connections=250, engine=engine_shape()),
+            "desk": Service(name="desk", max_connections=100),
+        },
+        "organisation_by_digest": {digest_of_key(KEY): member},
+    }
+    return RoutingTable(**{**fields, **changes})
+
+
+def endpoint(endpoint_id: str = "e1", **changes: object) -> Endpoint:
+    """Return an endpoint of the service `engines`."""
+    fields = {
+        "endpoint_id": endpoint_id,
+        "service": "engines",
+        "address": f"10.0.0.1:{8000 + int(endpoint_id[1:])}",
+        "domain": "east",
+        "slots": 4,
+        "started_ms": 1000,
+    }
+    return Endpoint(**{**fields, **changes})
+
+
+def state(now_ms: float = 0.0, *adapters: str, **changes: object) -> EngineState:
+    """Return the state of an engine that holds version 1 of *adapters*."""
+    fields = {
+        "received_ms": now_ms,
+        "resident": {(MODEL, ""): 0, **{(MODEL, adapter): 1 for adapter in adapters}},
+        "on_the_way": {},
+        "spare_places": 3,
+    }
+    return EngineState(**{**fields, **changes})
+
+
+def report(*adapters: str, sequence: int = 0, **changes: object) -> EngineReport:
+    """Return the report of an engine that holds version 1 of *adapters*."""
+    fields = {
+        "started_ms": 1000,
+        "sequence": sequence,
+        "is_busy": False,
+        "resident": {(MODEL, ""): 0, **{(MODEL, adapter): 1 for adapter in adapters}},
+        "on_the_way": {},
+    }
+    return EngineReport(**{**fields, **changes})
+
+
+def need(adapter: str | None = "a1", **changes: object) -> ModelNeed:
+    """Return a need of 100 prompt tokens and as many of output."""
+    fields = {"model": MODEL, "adapter": adapter, "prompt_tokens": 100, "output_tokens": 100}
+    return ModelNeed(**{**fields, **changes})
+
+
+def ticket(request_id: str = "r1", adapter: str | None = "a1", **changes: object) -> Ticket:
+    """Return an admitted request for *adapter* that arrived at 0 and ends at 12 s."""
+    call = Call(request_id=request_id, arrived_ms=0.0, patience_ms=12_000.0, need=need(adapter))
+    fields = {
+        "call": call,
+        "route": route(),
+        "service_name": "engines",
+        "priority": 1,
+        "ends_ms": 12_000.0,
+    }
+    return Ticket(**{**fields, **changes})
+
+
+def dispatcher(*endpoints: Endpoint, states: tuple = ()) -> Dispatcher:
+    """Return a dispatcher that knows the table, *endpoints*, and the states given in order."""
+    found = Dispatcher(domain="east")
+    found.observe(TablePublished(table=table()))
+    for item in endpoints:
+        found.directory.put(item)
+    for item, told in zip(endpoints, states, strict=False):
+        found.observe(EngineHeard(key=item.key, state=told))
+    return found
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,146 @@
+"""The platform's documents, whole and spoilt."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from skylarkrack._errors import FileRejected
+from skylarkrack.platform._documents import (
+    DocumentRejected,
+    decode_endpoint,
+    decode_report,
+    decode_table,
+    decode_version,
+)
+from skylarkrack.platform._settings import parse_settings
+from tests.platform_builders import KEY, as_bytes, config, registration
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=8,
+)
+
+
+class TestTable(unittest.TestCase):
+    """A configuration becomes a routing table."""
+
+    def test_what_may_be_repeated_follows_from_the_kind(self) -> None:
+        table = decode_table(as_bytes(config()))
+        rows = (("chat", False), ("draft", True), ("look", True), ("pay", False))
+        for name, is_idempotent in rows:
+            route = table.route_for("a.example", f"/{name}/x")
+            self.assertEqual((route.name, route.is_idempotent), (name, is_idempotent))
+
+    def test_keys_are_kept_as_digests(self) -> None:
+        table = decode_table(as_bytes(config()))
+        self.assertEqual(table.organisation_for(KEY).name, "singers")
+        self.assertIsNone(table.organisation_for("other"))
+        self.assertNotIn(KEY, repr(table))
+
+    def test_without_tenants_no_key_is_needed(self) -> None:
+        document = config()
+        del document["tenants"]
+        self.assertIsNone(decode_table(as_bytes(document)).organisation_by_digest)
+
+    def test_a_spoilt_field_rejects_the_whole(self) -> None:
+        rows = (
+            ("version", "7"),
+            ("routes", [{"name": "x"}]),
+            ("routes", "none"),
+            ("services", [{"name": 3}]),
+            ("limits", {"max-body-bytes": "big"}),
+            ("tenants", [{"name": "x", "api-keys": [1]}]),
+        )
+        for key, value in rows:
+            with self.subTest(key=key, value=value), self.assertRaises(DocumentRejected):
+                decode_table(as_bytes(config(**{key: value})))
+
+
+class TestRegistrations(unittest.TestCase):
+    """A registration names an endpoint, or nothing to use."""
+
+    def test_a_good_one(self) -> None:
+        models = [{"name": "m", "version": 1, "adapters": ["a1@2", "a7@1"]}]
+        found = decode_endpoint("i-1", as_bytes(registration("10.0.0.1:80", models=models)))
+        self.assertEqual(found.key, ("10.0.0.1:80", 1000))
+        self.assertEqual(found.adapters_by_model, {"m": {"a1": 2, "a7": 1}})
+        self.assertFalse(found.is_leaving)
+
+    def test_spoilt_ones(self) -> None:
+        rows = (
+            b"\xff\x00",
+            b"[]",
+            b"{",
+            as_bytes(registration("10.0.0.1:80", state="asleep")),
+            as_bytes(registration("10.0.0.1:80", born=None)),
+            as_bytes(registration("10.0.0.1:80", born=1.5)),
+            as_bytes(registration("10.0.0.1:80", slots="6")),
+            as_bytes(registration("nowhere")),
+            as_bytes(registration("10.0.0.1:80", models="m")),
+        )
+        for data in rows:
+            with self.subTest(data=data), self.assertRaises(DocumentRejected):
+                decode_endpoint("i-1", data)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.sampled_from(sorted(registration("x"))), JSON_VALUES)
+    def test_any_value_in_any_field(self, key: str, value: object) -> None:
+        document = registration("10.0.0.1:80")
+        document[key] = value
+        try:
+            decode_endpoint("i-1", as_bytes(document))
+        except DocumentRejected:
+            pass
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(JSON_VALUES)
+    def test_any_document_at_all(self, value: object) -> None:
+        for decode in (decode_table, decode_version, decode_report):
+            try:
+                decode(as_bytes(value))
+            except DocumentRejected:
+                pass
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.sampled_from(["routes", "services", "tenants", "limits"]), JSON_VALUES)
+    def test_any_value_in_a_configuration(self, key: str, value: object) -> None:
+        try:
+            decode_table(as_bytes(config(**{key: value})))
+        except DocumentRejected:
+            pass
+
+
+class TestReports(unittest.TestCase):
+    """An engine's report of itself."""
+
+    def test_what_is_held_and_on_its_way(self) -> None:
+        document = {
+            "born": 5,
+            "seq": 2,
+            "busy": False,
+            "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
+            "coming": ["m/a3@1"],
+        }
+        report = decode_report(as_bytes(document))
+        self.assertEqual(report.resident, {("m", ""): 0, ("m", "a1"): 2})
+        self.assertEqual(report.on_the_way, {("m", "a3"): 1})
+
+
+class TestSettings(unittest.TestCase):
+    """The settings file of a machine."""
+
+    def test_an_entry(self) -> None:
+        text = "node-name=n1\nip=10.0.0.1\nzone=z\nport-range=7600,7615\nnew.field=x\n"
+        text += "seeds=10.0.0.2:80,10.0.0.3:80\nplatform.addr=10.9.0.1:90\nbounds.grace-s=8\n"
+        found = parse_settings(text + "listen.front=10.0.0.1:70\n", file="boot")
+        self.assertEqual(found.relay.peers, "10.0.0.1:7600")
+        self.assertEqual(found.relay.seeds, ("10.0.0.2:7600", "10.0.0.3:7600"))
+        self.assertEqual(found.relay.grace_ms, 8000.0)
+        self.assertEqual(found.relay.callers, "10.0.0.1:70")
+
+    def test_every_missing_key_is_named(self) -> None:
+        with self.assertRaises(FileRejected) as raised:
+            parse_settings("zone=z\n", file="boot")
+        self.assertEqual(len(raised.exception.problems), 3)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,179 @@
+"""The store's contract, against a stand-in that answers late, wrongly, or not at all."""
+
+import asyncio
+import unittest
+
+from skylarkrack._errors import PlatformUnreachable
+from skylarkrack.platform import _store, _watch
+from skylarkrack.platform._store import HistoryLost, Store
+from skylarkrack.platform._watch import StoreWatcher
+from standins.platform_store import PlatformStore, StoreFaults
+from tests.platform_builders import as_bytes, config, registration
+
+
+class Listener:
+    """Notes what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple] = []
+        self._changed = asyncio.Event()
+
+    def _note(self, *what: object) -> None:
+        self.told.append(what)
+        self._changed.set()
+
+    def table_published(self, table: object) -> None:
+        self._note("table", table.version)
+
+    def adapter_published(self, model: str, adapter: str, version: int) -> None:
+        self._note("adapter", model, adapter, version)
+
+    def endpoint_put(self, endpoint: object) -> None:
+        self._note("put", endpoint.endpoint_id, endpoint.is_leaving)
+
+    def endpoint_removed(self, endpoint_id: str) -> None:
+        self._note("removed", endpoint_id)
+
+    def endpoints_listed(self, endpoints: list, unreadable: set) -> None:
+        self._note("listed", sorted(e.endpoint_id for e in endpoints), sorted(unreadable))
+
+    def registry_lost(self, reason: str) -> None:
+        self._note("lost")
+
+    def registry_back(self) -> None:
+        self._note("back")
+
+    async def until(self, *what: object) -> None:
+        """Wait until *what* was told."""
+        async with asyncio.timeout(5):
+            while what not in self.told:
+                self._changed.clear()
+                await self._changed.wait()
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests with a store."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = PlatformStore()
+        await self.platform.start("127.0.0.1:0")
+        host, port = self.platform.listens_at
+        self.address = f"{host}:{port}"
+
+    async def asyncTearDown(self) -> None:
+        await self.platform.close()
+
+
+class TestStore(StoreTest):
+    """Reads and watches."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store = Store(self.address)
+        self.addCleanup(self.store.close)
+
+    async def test_a_listing_of_several_pages(self) -> None:
+        for number in range(8):
+            self.platform.put(f"servers/i-{number}", b"x")
+        listing = await self.store.read_all("servers/")
+        self.assertEqual([item.key for item in listing.items], [f"servers/i-{n}" for n in range(8)])
+        self.assertEqual(listing.revision, self.platform.revision)
+
+    async def test_a_watch_tells_writes_and_removals(self) -> None:
+        self.platform.put("servers/i-1", b"x")
+        revision = self.platform.revision
+        self.platform.put("servers/i-2", b"y")
+        self.platform.remove("servers/i-1")
+        changes = await self.store.watch("servers/", revision, wait_ms=1000)
+        self.assertEqual([(i.key, i.value) for i in changes.items],
+                         [("servers/i-2", b"y"), ("servers/i-1", None)])  # fmt: skip
+
+    async def test_a_watch_that_ends_without_changes(self) -> None:
+        changes = await self.store.watch("servers/", self.platform.revision, wait_ms=1)
+        self.assertEqual(changes.items, ())
+
+    async def test_faults(self) -> None:
+        """Each row: what the store does, and what the caller of a watch learns."""
+        rows = (
+            (StoreFaults(status=503), PlatformUnreachable),
+            (StoreFaults(status=429), PlatformUnreachable),
+            (StoreFaults(garbage=True), PlatformUnreachable),
+            (StoreFaults(lose_answers=1), PlatformUnreachable),
+            (StoreFaults(history_lost=True), HistoryLost),
+        )
+        for faults, error in rows:
+            with self.subTest(faults=faults):
+                self.platform.faults = faults
+                with self.assertRaises(error):
+                    await self.store.watch("servers/", 1, wait_ms=1)
+
+    async def test_a_connection_that_went_silent(self) -> None:
+        self.platform.faults = StoreFaults(silent=True)
+        slack_ms, _store.WATCH_SLACK_MS = _store.WATCH_SLACK_MS, 50.0
+        try:
+            with self.assertRaises(PlatformUnreachable):
+                await self.store.watch("servers/", 1, wait_ms=1)
+        finally:
+            _store.WATCH_SLACK_MS = slack_ms
+
+
+class TestWatcher(StoreTest):
+    """What a listener is told."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.listener = Listener()
+        self.watcher = StoreWatcher(self.address, self.listener, with_registrations=True)
+        self.platform.put("op/config", as_bytes(config(3)))
+        self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
+        self.platform.put("servers/i-2", b"\xff")
+
+    async def asyncTearDown(self) -> None:
+        await self.watcher.close()
+        await super().asyncTearDown()
+
+    async def test_what_is_there_and_what_changes(self) -> None:
+        self.watcher.start()
+        await self.listener.until("table", 3)
+        await self.listener.until("listed", ["i-1"], ["i-2"])
+        self.platform.put("op/config", as_bytes(config(9)))
+        await self.listener.until("table", 9)
+        self.platform.put(
+            "op/version/m.a1", as_bytes({"model": "m", "adapter": "a1", "version": 2})
+        )
+        await self.listener.until("adapter", "m", "a1", 2)
+        leaving = registration("10.0.0.1:80", state="draining")
+        self.platform.put("servers/i-1", as_bytes(leaving))
+        await self.listener.until("put", "i-1", True)
+        self.platform.remove("servers/i-1")
+        await self.listener.until("removed", "i-1")
+
+    async def test_a_spoilt_configuration_changes_nothing(self) -> None:
+        self.watcher.start()
+        await self.listener.until("table", 3)
+        self.platform.put("op/config", b"{")
+        self.platform.put("op/config", as_bytes(config(4)))
+        await self.listener.until("table", 4)
+
+    async def test_lost_history_is_read_anew(self) -> None:
+        self.watcher.start()
+        await self.listener.until("listed", ["i-1"], ["i-2"])
+        self.platform.faults = StoreFaults(history_lost=True)
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.until("listed", ["i-1", "i-3"], ["i-2"])
+
+    async def test_a_store_that_is_away(self) -> None:
+        self.watcher.start()
+        await self.listener.until("listed", ["i-1"], ["i-2"])
+        self.platform.faults = StoreFaults(status=503)
+        self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80", seq=2)))
+        await self.listener.until("lost")
+        self.platform.faults = StoreFaults()
+        await self.listener.until("back")
+
+    async def test_calls_to_a_store_that_refuses_are_few(self) -> None:
+        self.platform.faults = StoreFaults(status=429)
+        self.watcher.start()
+        await asyncio.sleep(0.5)
+        most = 2 * (1 + 500 / _watch.RETRY_MS)
+        self.assertLessEqual(len(self.platform.calls), most)
--- /dev/null
+++ b/tests/test_relay_dispatch.py
@@ -0,0 +1,156 @@
+"""Where requests go, what waits, and what is refused at once."""
+
+import unittest
+
+from skylarkrack._errors import Code
+from skylarkrack.core.relay import (
+    AdapterPublished,
+    EngineHeard,
+    SendTo,
+    TablePublished,
+    TurnAway,
+    WaitFor,
+)
+from tests.relay_builders import MODEL, dispatcher, endpoint, need, state, table, ticket
+
+
+class TestPlacement(unittest.TestCase):
+    """The endpoint with the least expected delay."""
+
+    def test_an_adapter_that_is_resident_goes_where_it_is(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        for holder in (0, 1):
+            states = [state(0.0), state(0.0)]
+            states[holder] = state(0.0, "a1")
+            found = dispatcher(one, two, states=tuple(states)).decide(ticket(), 0.0)
+            self.assertIsInstance(found, SendTo)
+            self.assertEqual(found.endpoint, (one, two)[holder])
+            self.assertEqual(found.version, 1)
+
+    def test_requests_for_one_adapter_wait_at_one_engine(self) -> None:
+        endpoints = [endpoint(f"e{index}") for index in range(1, 6)]
+        found = dispatcher(*endpoints, states=tuple(state(0.0) for _ in endpoints))
+        keys = set()
+        for index in range(4):
+            waiting = ticket(f"r{index}")
+            decision = found.decide(waiting, 0.0)
+            self.assertIsInstance(decision, WaitFor)
+            found.wait(waiting, decision)
+            keys.add(decision.key)
+        self.assertEqual(len(keys), 1)
+        self.assertEqual(found.wanted_at(keys.pop()), {(MODEL, "a1"): (1, 4)})
+
+    def test_a_full_engine_hands_a_popular_adapter_on(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0)))
+        for _ in range(10):
+            found.load.began(one.key, tokens=200, model=MODEL, adapter="a1")
+        decision = found.decide(ticket(), 0.0)
+        self.assertIsInstance(decision, WaitFor)
+        self.assertEqual(decision.key, two.key)
+
+    def test_waiting_requests_are_sent_when_the_adapter_has_come(self) -> None:
+        one = endpoint("e1")
+        found = dispatcher(one, states=(state(0.0),))
+        waiting = ticket()
+        found.wait(waiting, found.decide(waiting, 0.0))
+        self.assertIsNone(found.next_ready(10.0))
+        found.observe(EngineHeard(key=one.key, state=state(20.0, "a1")))
+        ready, decision = found.next_ready(20.0)
+        self.assertIs(ready, waiting)
+        self.assertIsInstance(decision, SendTo)
+        self.assertIsNone(found.next_ready(20.0))
+
+    def test_the_more_urgent_goes_first(self) -> None:
+        one = endpoint("e1")
+        found = dispatcher(one, states=(state(0.0),))
+        for name, priority in (("late", 2), ("urgent", 0), ("usual", 1)):
+            waiting = ticket(name, priority=priority)
+            found.wait(waiting, found.decide(waiting, 0.0))
+        found.observe(EngineHeard(key=one.key, state=state(20.0, "a1")))
+        names = [found.next_ready(20.0)[0].call.request_id for _ in range(3)]
+        self.assertEqual(names, ["urgent", "usual", "late"])
+
+    def test_an_announced_version_is_waited_for(self) -> None:
+        one = endpoint("e1")
+        found = dispatcher(one, states=(state(0.0, "a1"),))
+        found.observe(AdapterPublished(model=MODEL, adapter="a1", version=2))
+        self.assertIsInstance(found.decide(ticket(), 0.0), WaitFor)
+        newer = state(1.0, resident={(MODEL, ""): 0, (MODEL, "a1"): 2})
+        found.observe(EngineHeard(key=one.key, state=newer))
+        self.assertEqual(found.decide(ticket(), 1.0).version, 2)
+
+    def test_an_engine_that_lacks_the_adapter_after_all(self) -> None:
+        one = endpoint("e1")
+        found = dispatcher(one, states=(state(0.0, "a1"),))
+        found.missing(one.key, need("a1"))
+        self.assertIsInstance(found.decide(ticket(), 0.0), WaitFor)
+
+    def test_an_engine_whose_agent_is_silent_serves_what_it_holds(self) -> None:
+        one = endpoint("e1", adapters_by_model={MODEL: {"a1": 1}})
+        found = dispatcher(one)
+        self.assertIsInstance(found.decide(ticket(), 0.0), SendTo)
+        self.assertIsInstance(found.decide(ticket(adapter="a2"), 0.0), WaitFor)
+
+    def test_failures_move_requests_away(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0, "a1")))
+        first = found.decide(ticket(), 0.0).endpoint
+        for _ in range(3):
+            found.health.failed(first.key, 0.0)
+        self.assertNotEqual(found.decide(ticket(), 0.0).endpoint, first)
+
+    def test_an_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0, "a1")))
+        first = found.decide(ticket(), 0.0).endpoint
+        found.health.unreachable(first.key, 0.0)
+        self.assertNotEqual(found.decide(ticket(), 0.0).endpoint, first)
+
+
+class TestRefusals(unittest.TestCase):
+    """What can't be served is refused at once."""
+
+    def test_no_endpoint(self) -> None:
+        found = dispatcher().decide(ticket(), 0.0)
+        self.assertIsInstance(found, TurnAway)
+        self.assertIs(found.code, Code.NO_ENDPOINT)
+
+    def test_no_time_for_a_load(self) -> None:
+        found = dispatcher(endpoint("e1"), states=(state(0.0),))
+        decision = found.decide(ticket(ends_ms=200.0), 0.0)
+        self.assertIsInstance(decision, TurnAway)
+        self.assertGreater(decision.retry_after_ms, 0)
+
+    def test_a_waiting_request_whose_time_runs_out(self) -> None:
+        found = dispatcher(endpoint("e1"), states=(state(0.0),))
+        waiting = ticket(ends_ms=1000.0)
+        found.wait(waiting, found.decide(waiting, 0.0))
+        self.assertIsNone(found.next_ready(100.0))
+        ready, decision = found.next_ready(900.0)
+        self.assertIs(ready, waiting)
+        self.assertIsInstance(decision, TurnAway)
+
+
+class TestTable(unittest.TestCase):
+    """The configuration in force never goes back."""
+
+    def test_an_older_table_changes_nothing(self) -> None:
+        found = dispatcher()
+        self.assertTrue(found.observe(TablePublished(table=table(7))))
+        self.assertFalse(found.observe(TablePublished(table=table(5))))
+        self.assertEqual(found.table.version, 7)
+
+    def test_the_longest_prefix(self) -> None:
+        rows = (("/chat/x", "chat"), ("/fees/", "fees"), ("/chatx/", None), ("/", None))
+        for path, name in rows:
+            found = table().route_for("a.example", path)
+            self.assertEqual(None if found is None else found.name, name)
+
+    def test_a_split_by_weight(self) -> None:
+        from tests.relay_builders import route
+
+        split = route(shares=(("old", 90.0), ("new", 10.0)))
+        names = [split.service_for(f"request-{index}") for index in range(2000)]
+        self.assertEqual(split.service_for("request-1"), names[1])
+        self.assertTrue(100 < names.count("new") < 300)
--- /dev/null
+++ b/tests/test_relay_path.py
@@ -0,0 +1,308 @@
+"""Requests through an entry to endpoints that misbehave, byte for byte."""
+
+import asyncio
+import unittest
+
+from standins.platform_worker import (
+    PlatformWorker,
+    answer,
+    both,
+    refusal,
+    resumable,
+    silence,
+    stream,
+    without_length,
+)
+from tests.platform_builders import Rig, model_request, request
+
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
+
+def status_of(data: bytes) -> int:
+    """Return the status of an answer."""
+    return int(data.split(b" ", 2)[1])
+
+
+def is_whole(data: bytes) -> bool:
+    """Tell whether a chunked answer has its end."""
+    return data.endswith(b"0\r\n\r\n")
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests with an entry."""
+
+    async def ask(self, worker: PlatformWorker, data: bytes, *, service: str = "desk") -> bytes:
+        """Send one request through an entry to one endpoint."""
+        async with Rig(worker, service=service) as rig:
+            return await rig.ask(data)
+
+
+class TestPassage(PathTest):
+    """What reaches an endpoint and what comes back."""
+
+    async def test_the_endpoint_gets_the_request_without_the_key(self) -> None:
+        worker = PlatformWorker([answer()])
+        system = "X-Tenant: other\r\nX-Hold: h\r\nX-Pin-Ms: 9\r\nX-Kv-Backup: 1.1.1.1:1\r\n"
+        system += "Kv-From: 1.1.1.1:1/x\r\nKv-Fetch: 1.1.1.1:1\r\nX-Expect-Instance: i-9\r\n"
+        system += "X-Other: kept\r\nX-Hop: dropped\r\nConnection: x-hop, close\r\n"
+        got = await self.ask(
+            worker, request("/pay/1?q=%20", method="POST", body=b"fee", headers=system, keep=True)
+        )
+        self.assertEqual(status_of(got), 200)
+        self.assertIn(b"seal-of-r1", got)
+        self.assertTrue(got.endswith(b"done"))
+        seen = worker.received[0]
+        self.assertEqual((seen.method, seen.target, seen.body), ("POST", "/pay/1?q=%20", b"fee"))
+        self.assertEqual(seen.headers["x-tenant"], "singers")
+        self.assertEqual(seen.headers["x-expect-instance"], "i-0")
+        self.assertEqual(seen.headers["x-other"], "kept")
+        self.assertLessEqual(int(seen.headers["x-deadline-ms"]), 800)
+        for name in ("authorization", "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "kv-fetch"):
+            self.assertNotIn(name, seen.headers)
+        self.assertNotIn("x-hop", seen.headers)
+
+    async def test_the_deadline_shrinks(self) -> None:
+        worker = PlatformWorker([answer()])
+        await self.ask(worker, request(headers="X-Deadline-Ms: 300\r\n"))
+        self.assertLessEqual(int(worker.received[0].headers["x-deadline-ms"]), 300)
+
+    async def test_a_stream_passes_event_by_event(self) -> None:
+        worker = PlatformWorker([stream(*EVENTS)])
+        got = await self.ask(worker, model_request(), service="llm")
+        self.assertTrue(is_whole(got))
+        self.assertIn(EVENTS[0], got)
+        self.assertIn(EVENTS[1], got)
+        self.assertEqual(worker.received[0].headers["x-expect-version"], "1")
+
+    async def test_own_refusals(self) -> None:
+        """Each row: the request, the status, and whether an endpoint may see it."""
+        rows = (
+            (request(key=None), 401),
+            (request(key="other"), 401),
+            (request("/nowhere/"), 404),
+            (request().replace(b"X-Attempt-Id: r1\r\n", b""), 400),
+            (request("/pay/1", method="POST", body=b"x" * 20_001), 413),
+            (request(headers="X-Long: " + "x" * 5000 + "\r\n"), 431),
+            (request(headers="Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400),
+            (request(headers="Content-Length: 3\r\nContent-Length: 4\r\n"), 400),
+        )
+        for data, status in rows:
+            with self.subTest(data=data[:40], status=status):
+                worker = PlatformWorker([answer()])
+                got = await self.ask(worker, data)
+                self.assertEqual(status_of(got), status)
+                self.assertEqual(worker.received, [])
+
+    async def test_an_open_route_needs_no_key(self) -> None:
+        worker = PlatformWorker([answer()])
+        self.assertEqual(status_of(await self.ask(worker, request("/open/1", key=None))), 200)
+        self.assertNotIn("x-tenant", worker.received[0].headers)
+
+    async def test_a_slow_head_is_ended(self) -> None:
+        worker = PlatformWorker([answer()])
+        got = await self.ask(worker, b"GET /look/1 HTTP/1.1\r\nHost: a")
+        self.assertEqual(status_of(got), 408)
+
+
+class TestAtMostOnce(PathTest):
+    """A request that may not be repeated reaches one endpoint, unless it surely did not run."""
+
+    async def test_a_lost_answer_is_not_sent_again(self) -> None:
+        rows = (
+            answer(b"half", length=99, keep=False),
+            without_length(b"half", resets=True),
+            answer(sealed=False),
+            answer(extra="Content-Encoding: gzip\r\n"),
+        )
+        for reply in rows:
+            with self.subTest(reply=reply):
+                one, two = PlatformWorker([reply]), PlatformWorker([reply])
+                async with Rig(one, two) as rig:
+                    got = await rig.ask(request("/pay/1", method="POST", body=b"fee"))
+                self.assertEqual(status_of(got), 502)
+                self.assertEqual(len(one.received) + len(two.received), 1)
+
+    async def test_a_refusal_is_offered_to_another(self) -> None:
+        for count, status in ((1, 200), (2, 503)):
+            with self.subTest(refusing=count):
+                replies = [refusal()] * count + [answer()] * (2 - count)
+                workers = [PlatformWorker([reply]) for reply in replies]
+                async with Rig(*workers) as rig:
+                    got = await rig.ask(request("/pay/1", method="POST", body=b"fee"))
+                self.assertEqual(status_of(got), status)
+                self.assertEqual(b"retry-after" in got, status == 503)
+
+    async def test_an_endpoint_that_cannot_be_reached(self) -> None:
+        gone, there = PlatformWorker([answer()]), PlatformWorker([answer()])
+        async with Rig(gone, there) as rig:
+            await gone.close()
+            statuses = [
+                status_of(
+                    await rig.ask(request("/pay/1", method="POST", body=b"f", request_id=f"r{n}"))
+                )
+                for n in range(4)
+            ]
+        self.assertEqual(statuses, [200] * 4)
+        self.assertEqual(len(there.received), 4)
+
+    async def test_the_endpoints_failure_is_passed_on(self) -> None:
+        one, two = (PlatformWorker([answer(b"no", status="500 No")]) for _ in range(2))
+        async with Rig(one, two) as rig:
+            got = await rig.ask(request("/pay/1", method="POST", body=b"fee"))
+        self.assertEqual(status_of(got), 500)
+        self.assertIn(b"seal-of-r1", got)
+        self.assertEqual(len(one.received) + len(two.received), 1)
+
+    async def test_a_silent_endpoint_is_answered_at_the_timeout(self) -> None:
+        worker = PlatformWorker([silence()])
+        got = await self.ask(worker, request("/pay/1", method="POST", body=b"fee"))
+        self.assertEqual(status_of(got), 504)
+        self.assertEqual(len(worker.received), 1)
+
+    async def test_a_broken_stream_is_not_joined_with_another_run(self) -> None:
+        one, two = (PlatformWorker([stream(EVENTS[0], ends=False)]) for _ in range(2))
+        async with Rig(one, two, service="llm") as rig:
+            got = await rig.ask(model_request("/chat/1"))
+        self.assertFalse(is_whole(got))
+        self.assertEqual(len(one.received) + len(two.received), 1)
+
+
+class TestRepeats(PathTest):
+    """A request that may run again is tried at another endpoint."""
+
+    async def test_an_answer_that_was_lost(self) -> None:
+        rows = (
+            answer(b"half", length=99, keep=False),
+            without_length(b"half", resets=True),
+            answer(sealed=False),
+            answer(status="500 No"),
+        )
+        for reply in rows:
+            with self.subTest(reply=reply):
+                one, two = PlatformWorker([reply, answer()]), PlatformWorker([reply, answer()])
+                async with Rig(one, two) as rig:
+                    first = await rig.ask(request())
+                    second = await rig.ask(request(request_id="r2"))
+                self.assertIn(200, (status_of(first), status_of(second)))
+
+    async def test_a_resumable_stream_goes_on_after_the_last_whole_event(self) -> None:
+        one, two = (PlatformWorker([resumable(EVENTS, breaks_after=1)]) for _ in range(2))
+        async with Rig(one, two, service="llm") as rig:
+            got = await rig.ask(model_request("/draft/1"))
+        resumed = [r for r in one.received + two.received if "last-event-id" in r.headers]
+        self.assertEqual([r.headers["last-event-id"] for r in resumed], ["1"])
+        self.assertTrue(is_whole(got))
+        self.assertEqual((got.count(b"data: a"), got.count(b"data: b")), (1, 1))
+
+    async def test_an_answer_without_length_is_whole_at_a_clean_end(self) -> None:
+        worker = PlatformWorker([without_length(b"whole", resets=False)])
+        got = await self.ask(worker, request())
+        self.assertTrue(got.endswith(b"whole"))
+
+
+class TestConnections(PathTest):
+    """Answers that belong to no request, and connections that are used again."""
+
+    async def test_an_extra_answer_is_passed_over(self) -> None:
+        rows = (
+            both(answer(b"first"), answer(b"first again")),
+            both(answer(b"first"), answer(b"other", request_id="r0")),
+        )
+        for reply in rows:
+            with self.subTest(reply=reply):
+                worker = PlatformWorker([reply, answer(b"second")])
+                async with Rig(worker) as rig:
+                    first = await rig.ask(request(request_id="r1"))
+                    second = await rig.ask(request(request_id="r2"))
+                self.assertTrue(first.endswith(b"first"))
+                self.assertTrue(second.endswith(b"second"))
+
+    async def test_a_late_extra_answer_on_a_kept_connection(self) -> None:
+        late = both(answer(b"late", request_id="r0"), answer(b"own"))
+        worker = PlatformWorker([late])
+        got = await self.ask(worker, request())
+        self.assertEqual(status_of(got), 200)
+        self.assertTrue(got.endswith(b"own"))
+
+    async def test_connections_are_used_again(self) -> None:
+        worker = PlatformWorker([answer()])
+        async with Rig(worker) as rig:
+            for number in range(3):
+                await rig.ask(request(request_id=f"r{number}"))
+        self.assertEqual(worker.connections, 1)
+
+    async def test_a_kept_alive_time_that_has_passed(self) -> None:
+        worker = PlatformWorker([answer(extra="Keep-Alive: timeout=0\r\n")])
+        async with Rig(worker) as rig:
+            for number in range(2):
+                await rig.ask(request(request_id=f"r{number}"))
+        self.assertEqual(worker.connections, 2)
+
+    async def test_a_caller_keeps_its_connection_for_more_requests(self) -> None:
+        worker = PlatformWorker([answer()])
+        async with Rig(worker) as rig:
+            reader, writer = await rig.connect()
+            for number in range(3):
+                writer.write(request(request_id=f"r{number}", keep=True))
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.assertEqual(status_of(head), 200)
+                await reader.readexactly(4)
+            writer.close()
+        self.assertEqual(len(worker.received), 3)
+
+
+class TestCallersThatLeave(PathTest):
+    """Work for a caller that has gone is stopped, unless it may run only once."""
+
+    async def leave(self, worker: PlatformWorker, data: bytes, *, service: str) -> None:
+        """Send a request and go away once an endpoint has it."""
+        async with Rig(worker, service=service) as rig:
+            _, writer = await rig.connect()
+            writer.write(data)
+            await asyncio.wait_for(worker.first_received.wait(), 2)
+            writer.close()
+            await asyncio.wait_for(worker.closed.wait(), 2)
+
+    async def test_a_stream_is_cancelled(self) -> None:
+        worker = PlatformWorker([silence()])
+        await self.leave(worker, model_request(), service="llm")
+        self.assertTrue(worker.closed.is_set())
+
+    async def test_a_payment_goes_on(self) -> None:
+        done = asyncio.Event()
+
+        async def slow(seen: object, writer: asyncio.StreamWriter) -> bool:
+            await asyncio.sleep(0.1)
+            if not writer.transport.is_closing():
+                done.set()
+            return False
+
+        worker = PlatformWorker([slow])
+        await self.leave(worker, request("/pay/1", method="POST", body=b"x"), service="desk")
+        self.assertTrue(done.is_set())
+
+
+class TestPlannedStop(PathTest):
+    """A planned stop cuts nothing that was taken, and takes nothing late."""
+
+    async def test_no_request_is_taken_after_one_that_outlasted_the_announcement(self) -> None:
+        go_on = asyncio.Event()
+
+        async def slow(seen: object, writer: asyncio.StreamWriter) -> bool:
+            await go_on.wait()
+            return await answer()(seen, writer)
+
+        worker = PlatformWorker([slow, answer()])
+        async with Rig(worker) as rig:
+            reader, writer = await rig.connect()
+            writer.write(request(request_id="r1", keep=True))
+            await asyncio.wait_for(worker.first_received.wait(), 2)
+            rig.entry.announce_close()
+            go_on.set()
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"connection: close", head.lower())
+            writer.write(request(request_id="r2", keep=True))
+            rest = await asyncio.wait_for(reader.read(-1), 2)
+            writer.close()
+        self.assertEqual(rest, b"done")
+        self.assertEqual(len(worker.received), 1)
--- /dev/null
+++ b/tests/test_relay_places.py
@@ -0,0 +1,179 @@
+"""The adapter places of an engine under any order of demands, reports and lost answers."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from skylarkrack.core.relay import OrderKind, OrderResult, Places
+from skylarkrack.core.relay._places import UNCONFIRMED_MS
+from tests.relay_builders import MODEL, engine_shape, report
+
+
+def places(*adapters: str) -> Places:
+    """Return the places of an engine that holds *adapters* and has three places."""
+    found = Places(fence=1)
+    found.shape_known(engine_shape())
+    found.reported(report(*adapters), 0.0)
+    return found
+
+
+def want(
+    found: Places, *adapters: str, entry: str = "n1", now_ms: float = 0.0, **uses: int
+) -> None:
+    """Let an entry wait for *adapters* and use others."""
+    found.demanded(
+        entry,
+        "i",
+        wanted={(MODEL, adapter): (1, 1) for adapter in adapters},
+        in_use={(MODEL, adapter): count for adapter, count in uses.items()},
+        now_ms=now_ms,
+    )
+
+
+class TestPlaces(unittest.TestCase):
+    """Loads, evictions, and what must never be ordered."""
+
+    def test_a_wanted_adapter_is_loaded(self) -> None:
+        found = places()
+        want(found, "a1")
+        order = found.next_order(0.0)
+        self.assertEqual((order.kind, order.adapter), (OrderKind.LOAD, "a1"))
+        self.assertIsNone(found.next_order(0.0))
+
+    def test_the_unused_for_longest_is_evicted(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, a1=1, now_ms=1.0)
+        want(found, a3=1, now_ms=2.0)
+        want(found, now_ms=3.0)
+        want(found, "a4", now_ms=4.0)
+        order = found.next_order(4.0)
+        self.assertEqual((order.kind, order.adapter), (OrderKind.UNLOAD, "a2"))
+
+    def test_an_adapter_in_use_is_never_evicted(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, "a4", entry="n1", a1=1, a2=1)
+        want(found, entry="n2", a3=2)
+        self.assertIsNone(found.next_order(0.0))
+        self.assertEqual(found.spare_places(0.0), 0)
+
+    def test_a_silent_entry_still_uses_what_it_used(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, entry="n2", a1=1, a2=1, a3=1)
+        want(found, "a4", entry="n1", now_ms=10_000.0)
+        self.assertIsNone(found.next_order(10_000.0))
+
+    def test_a_full_engine_evicts_before_it_loads(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, "a4")
+        self.assertIs(found.next_order(0.0).kind, OrderKind.UNLOAD)
+        found.answered(OrderResult.ALREADY_SO, 1.0)
+        found.reported(report("a2", "a3", sequence=1), 2.0)
+        self.assertIs(found.next_order(2.0).kind, OrderKind.LOAD)
+
+    def test_an_order_without_an_answer_keeps_its_place(self) -> None:
+        found = places("a1", "a2")
+        want(found, "a4", "a5")
+        self.assertEqual(found.next_order(0.0).adapter, "a4")
+        found.answered(OrderResult.UNKNOWN, 1.0)
+        found.reported(report("a1", "a2"), 2.0)
+        self.assertIsNone(found.next_order(2.0))
+        found.reported(report("a1", "a2"), UNCONFIRMED_MS)
+        want(found, "a4", now_ms=UNCONFIRMED_MS)
+        self.assertEqual(found.next_order(UNCONFIRMED_MS).adapter, "a4")
+
+    def test_a_lost_answer_to_an_order_that_was_carried_out(self) -> None:
+        found = places("a1", "a2")
+        want(found, "a4", "a5")
+        found.next_order(0.0)
+        found.answered(OrderResult.UNKNOWN, 1.0)
+        found.reported(report("a1", "a2", sequence=1, on_the_way={(MODEL, "a4"): 1}), 2.0)
+        order = found.next_order(2.0)
+        self.assertIs(order.kind, OrderKind.UNLOAD)
+
+    def test_a_fenced_order_raises_the_fence(self) -> None:
+        found = places()
+        want(found, "a1")
+        found.next_order(0.0)
+        found.answered(OrderResult.FENCED, 0.0)
+        self.assertGreater(found.fence, 1)
+        self.assertIsNotNone(found.next_order(100.0))
+
+    def test_an_empty_engine_gets_its_model_first(self) -> None:
+        found = Places(fence=1)
+        found.shape_known(engine_shape())
+        found.reported(report(resident={}), 0.0)
+        want(found, "a1")
+        order = found.next_order(0.0)
+        self.assertEqual((order.model, order.adapter), (MODEL, ""))
+
+    def test_a_newer_version_replaces_an_older_one(self) -> None:
+        found = places("a1")
+        found.version_known((MODEL, "a1"), 2)
+        want(found, "a1")
+        order = found.next_order(0.0)
+        self.assertEqual((order.kind, order.version), (OrderKind.LOAD, 2))
+
+    def test_a_new_incarnation_of_the_engine_forgets_orders(self) -> None:
+        found = places()
+        want(found, "a1")
+        found.next_order(0.0)
+        found.reported(report(started_ms=2000), 1.0)
+        self.assertIsNotNone(found.next_order(1.0))
+
+
+class _Engine:
+    """An engine that obeys orders; it notes when too much or something in use is ordered."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.held: set[str] = set()
+        self.most = 0
+
+    def obey(self, order: object) -> OrderResult:
+        if order.expected_sequence != self.sequence:
+            return OrderResult.CONFLICT
+        self.sequence += 1
+        if order.kind is OrderKind.LOAD:
+            self.held.add(order.adapter)
+        else:
+            self.held.discard(order.adapter)
+        self.most = max(self.most, len(self.held))
+        return OrderResult.ACCEPTED
+
+
+class TestAnyOrderOfFaults(unittest.TestCase):
+    """Places are never exceeded and nothing in use is evicted, whichever answers are lost."""
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sets(st.integers(1, 6), max_size=3),
+                st.sets(st.integers(1, 6), max_size=3),
+                st.sampled_from(["answer", "lost answer", "lost order", "no report"]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_places_and_use(self, steps: list) -> None:
+        found, engine, now_ms = places(), _Engine(), 0.0
+        for wanted, used, fate in steps:
+            now_ms += 50.0
+            used = {number for number in used if f"a{number}" in engine.held}
+            want(
+                found,
+                *(f"a{number}" for number in wanted),
+                now_ms=now_ms,
+                **{f"a{number}": 1 for number in used},
+            )
+            if fate != "no report":
+                found.reported(report(*engine.held, sequence=engine.sequence), now_ms)
+            order = found.next_order(now_ms)
+            if order is None:
+                continue
+            if order.kind is OrderKind.UNLOAD:
+                self.assertNotIn(int(order.adapter[1:]), used)
+            result = OrderResult.UNKNOWN if fate == "lost order" else engine.obey(order)
+            found.answered(OrderResult.UNKNOWN if fate == "lost answer" else result, now_ms)
+            self.assertLessEqual(engine.most, 3)
--- /dev/null
+++ b/tests/test_relay_usage.py
@@ -0,0 +1,135 @@
+"""Rate and burst over all entries, by what they tell each other."""
+
+import random
+import unittest
+
+from skylarkrack.core.relay import Usage
+from skylarkrack.core.relay._usage import SILENT_AFTER_MS
+from tests.relay_builders import quota
+
+EXCHANGE_MS = 100.0
+WINDOW_MS = 8000.0
+OVERSHOOT = 1.25
+SLACK = 17_000.0
+
+
+class Net:
+    """Entries that tell each other what they granted, and a record of all grants."""
+
+    def __init__(self, count: int) -> None:
+        self.usage_by_name = {f"n{index}": Usage() for index in range(count)}
+        self.incarnation_by_name = dict.fromkeys(self.usage_by_name, 1)
+        self.cut: set[frozenset[str]] = set()
+        self.grants: list[tuple[float, float]] = []
+
+    def exchange(self, now_ms: float) -> None:
+        """Let every entry hear every other that it is not cut off from."""
+        for name, usage in self.usage_by_name.items():
+            for other, heard in self.usage_by_name.items():
+                if name != other and frozenset((name, other)) not in self.cut:
+                    incarnation = str(self.incarnation_by_name[other])
+                    usage.heard(other, incarnation, heard.granted(), now_ms)
+
+    def isolate(self, name: str) -> None:
+        """Cut one entry off from all others."""
+        self.cut |= {frozenset((name, other)) for other in self.usage_by_name if other != name}
+
+    def restart(self, name: str) -> None:
+        """Replace an entry by a new process."""
+        self.usage_by_name[name] = Usage()
+        self.incarnation_by_name[name] += 1
+
+    def ask(self, name: str, amount: float, now_ms: float) -> bool:
+        """Ask one entry for tokens."""
+        was_granted = self.usage_by_name[name].take("singers", amount, quota(), now_ms)
+        if was_granted:
+            self.grants.append((now_ms, amount))
+        return was_granted
+
+    def most_in_window(self, window_ms: float = WINDOW_MS) -> float:
+        """Return the most tokens granted within any window."""
+        most = 0.0
+        for start_ms, _ in self.grants:
+            end_ms = start_ms + window_ms
+            most = max(most, sum(a for at, a in self.grants if start_ms <= at < end_ms))
+        return most
+
+
+def bound(rate: float = 1000.0, burst: float = 1000.0) -> float:
+    """Return the most tokens that may be granted in a window."""
+    return (rate * WINDOW_MS / 1000 + burst) * OVERSHOOT
+
+
+class TestUsage(unittest.TestCase):
+    """The sum over all entries stays within rate, burst and overshoot, whatever is cut."""
+
+    def play(self, net: Net, *, until_ms: float, asked_per_s: float, seed: int = 1) -> None:
+        """Ask random entries for tokens, far above the rate, with an exchange each 100 ms."""
+        chance = random.Random(seed)
+        now_ms, next_exchange_ms = 0.0, 0.0
+        while now_ms < until_ms:
+            if now_ms >= next_exchange_ms:
+                net.exchange(now_ms)
+                next_exchange_ms += EXCHANGE_MS
+            net.ask(chance.choice(list(net.usage_by_name)), 100.0, now_ms)
+            now_ms += 100_000.0 / asked_per_s
+
+    def test_five_entries_under_a_noisy_organisation(self) -> None:
+        net = Net(5)
+        self.play(net, until_ms=20_000, asked_per_s=7500)
+        self.assertLessEqual(net.most_in_window(), bound())
+        self.assertGreater(sum(amount for _, amount in net.grants), 0.9 * 20_000)
+
+    def test_uneven_callers_get_the_whole_rate(self) -> None:
+        net = Net(5)
+        for step in range(200):
+            net.exchange(step * EXCHANGE_MS)
+            net.ask("n0", 100.0, step * EXCHANGE_MS)
+        self.assertGreater(sum(amount for _, amount in net.grants), 0.95 * 20_000)
+
+    def test_one_entry_cut_off(self) -> None:
+        net = Net(5)
+        net.exchange(0.0)
+        net.isolate("n4")
+        self.play(net, until_ms=20_000, asked_per_s=7500)
+        self.assertLessEqual(net.most_in_window(), bound())
+
+    def test_all_entries_cut_off_from_each_other(self) -> None:
+        net = Net(5)
+        self.play(net, until_ms=300, asked_per_s=100)
+        for name in net.usage_by_name:
+            net.isolate(name)
+        net.grants.clear()
+        self.play(net, until_ms=20_000, asked_per_s=7500)
+        silent_burst = 5 * SILENT_AFTER_MS / 1000 * 1000.0
+        self.assertLessEqual(net.most_in_window(), bound() + silent_burst)
+
+    def test_a_restarted_entry_does_not_count_twice(self) -> None:
+        net = Net(3)
+        self.play(net, until_ms=5000, asked_per_s=7500)
+        net.restart("n1")
+        self.play(net, until_ms=5000, asked_per_s=7500, seed=2)
+        self.assertLessEqual(net.most_in_window(), bound() + 1000.0)
+
+    def test_what_was_charged_for_a_silent_entry_is_settled(self) -> None:
+        net = Net(2)
+        for name in net.usage_by_name:
+            net.ask(name, 250.0, 0.0)
+        net.exchange(0.0)
+        net.isolate("n1")
+        for step in range(1, 9):
+            net.ask("n0", 300.0, 500.0 * step)
+        net.cut.clear()
+        net.exchange(4000.0)
+        self.assertTrue(net.ask("n0", 900.0, 4000.0))
+        self.assertTrue(net.ask("n0", 1.0, 4000.0))
+
+    def test_a_lower_limit_holds_at_once(self) -> None:
+        usage = Usage()
+        usage.take("singers", 1.0, quota(), 0.0)
+        low = quota(rate_per_s=10.0, burst=10.0)
+        self.assertTrue(usage.take("singers", 20.0, low, 5000.0))
+        self.assertFalse(usage.take("singers", 1.0, low, 5001.0))
+
+    def test_no_limit(self) -> None:
+        self.assertTrue(Usage().take("singers", 1e9, quota(rate_per_s=0.0), 0.0))
