Let only entries read the store, and hand the configuration on between them

Change: an agent learns the engine's limits and the least version from the entries' demands. An entry that hears of a newer table from a peer fetches it (Handover). Watches wait 3 s, registrations are gathered for 400 ms.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -73,6 +73,7 @@
     REPORT_FAILED = 724
     SETTINGS_RELOADED = 725
     LINES_DROPPED = 726
+    TABLE_FETCHED = 727
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/_status.py
+++ b/src/skylarkrack/_status.py
@@ -12,6 +12,7 @@
 from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
 
 _JSON = [(b"content-type", b"application/json")]
+_BYTES = [(b"content-type", b"application/octet-stream")]
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
 
 
@@ -23,10 +24,12 @@
     metrics: Metrics
     burn: BurnMeter
     traces: Traces
+    published: Callable[[], bytes] | None = None
+    """What other entries may fetch of the configuration; None where nothing is handed on."""
 
 
 class StatusServer:
-    """Serves /state, /metrics, /burn and /explain/ID."""
+    """Serves /state, /metrics, /burn, /explain/ID and, for an entry, /published."""
 
     __slots__ = ("_server", "_sources")
 
@@ -51,6 +54,8 @@
             _write(responder, sources.describe())
         elif path == "/burn":
             _write(responder, {"rows": sources.burn.report(monotonic_ms())})
+        elif path == "/published" and sources.published is not None:
+            responder.whole(200, _BYTES, sources.published())
         elif path.startswith("/explain/"):
             trace = sources.traces.find(path.removeprefix("/explain/"))
             if trace is None:
--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -21,7 +21,9 @@
     EngineReport,
     OrderKind,
     OrderResult,
+    PlaceLimits,
     Places,
+    Want,
 )
 from skylarkrack.core.relay._table import (
     CallerLimits,
@@ -60,7 +62,9 @@
     "ModelShape",
     "OrderKind",
     "OrderResult",
+    "PlaceLimits",
     "Places",
+    "PlaceLimits",
     "Places",
     "Quota",
     "Route",
@@ -72,6 +76,7 @@
     "TurnAway",
     "Usage",
     "WaitFor",
+    "Want",
     "by_host",
     "digest_of_key",
 ]
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -9,7 +9,8 @@
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import EngineState, Load
 from skylarkrack.core.relay._placement import Beliefs, Candidate, candidates
-from skylarkrack.core.relay._table import Route, RoutingTable
+from skylarkrack.core.relay._places import Want
+from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
 
 Key = tuple[str, int]
 
@@ -151,17 +152,35 @@
         ranked = candidates(untried or endpoints, service, ticket.need, self._beliefs(now_ms))
         return self._choose(ticket, ranked, now_ms)
 
-    def wanted_at(self, key: Key) -> dict[tuple[str, str], tuple[int, int]]:
-        """Return what waits for the engine *key*: (model, adapter) to (urgency, requests)."""
-        wanted: dict[tuple[str, str], tuple[int, int]] = {}
+    def wanted_at(self, key: Key) -> dict[tuple[str, str], Want]:
+        """Return what waits for the engine *key* by model and adapter."""
+        wanted: dict[tuple[str, str], Want] = {}
         for ticket in self._waiting:
             if ticket.waits_at != key or ticket.need is None:
                 continue
             name = (ticket.need.model, ticket.need.adapter or "")
-            urgency, count = wanted.get(name, (ticket.priority, 0))
-            wanted[name] = (min(urgency, ticket.priority), count + 1)
+            known = wanted.get(name)
+            wanted[name] = Want(
+                urgency=ticket.priority if known is None else min(known.urgency, ticket.priority),
+                requests=1 if known is None else known.requests + 1,
+                version=self._version_by_adapter.get(name, 0),
+            )
         return wanted
 
+    def shape_of(self, endpoint: Endpoint) -> EngineShape | None:
+        """Return what an engine can hold by the configuration; None for a plain endpoint."""
+        service = None if self.table is None else self.table.service_by_name.get(endpoint.service)
+        return None if service is None else service.engine
+
+    def versions(self) -> dict[tuple[str, str], int]:
+        """Return the newest announced versions by model and adapter."""
+        return dict(self._version_by_adapter)
+
+    @property
+    def announced(self) -> int:
+        """A number that grows with every announcement."""
+        return sum(self._version_by_adapter.values())
+
     # Commands
 
     @singledispatchmethod
--- a/src/skylarkrack/core/relay/_places.py
+++ b/src/skylarkrack/core/relay/_places.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from skylarkrack.core.relay._table import EngineShape
-
 Name = tuple[str, str]
 """Model and adapter; the adapter is "" for the model itself."""
 
@@ -31,6 +29,24 @@
 """Raise of the fencing token after a refusal; more ms than a calendar clock steps."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlaceLimits:
+    """What an engine can hold: adapters by number, and base models by weight."""
+
+    adapter_places: int
+    memory_mb: float
+    weights_mb_by_model: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Want:
+    """Requests that wait for an adapter: the most urgent priority, how many, the least version."""
+
+    urgency: int
+    requests: int
+    version: int = 0
+
+
 class OrderKind(Enum):
     """What an order asks of an engine."""
 
@@ -83,7 +99,7 @@
 class _Demand:
     incarnation: str
     heard_ms: float
-    wanted: dict[Name, tuple[int, int]] = field(default_factory=dict)
+    wanted: dict[Name, Want] = field(default_factory=dict)
     in_use: dict[Name, int] = field(default_factory=dict)
 
 
@@ -99,10 +115,10 @@
 
     __slots__ = (
         "_demand_by_entry",
+        "_limits",
         "_paused_until_ms",
         "_pending",
         "_report",
-        "_shape",
         "_used_ms_by_name",
         "_version_by_name",
         "fence",
@@ -110,7 +126,7 @@
 
     def __init__(self, *, fence: int) -> None:
         self.fence = fence
-        self._shape: EngineShape | None = None
+        self._limits: PlaceLimits | None = None
         self._report: EngineReport | None = None
         self._demand_by_entry: dict[str, _Demand] = {}
         self._version_by_name: dict[Name, int] = {}
@@ -131,21 +147,17 @@
 
     def spare_places(self, now_ms: float) -> int:
         """Return the places that are empty or hold an adapter that nobody uses."""
-        if self._shape is None or self._report is None:
+        if self._limits is None or self._report is None:
             return 0
         held = self._held()
         idle = sum(not self._is_needed(name, now_ms) for name in self._evictable())
-        return max(0, self._shape.adapter_places - len(held)) + idle
+        return max(0, self._limits.adapter_places - len(held)) + idle
 
     # Commands
 
-    def shape_known(self, shape: EngineShape) -> None:
+    def limits_known(self, limits: PlaceLimits) -> None:
         """Take what the engine can hold."""
-        self._shape = shape
-
-    def version_known(self, name: Name, version: int) -> None:
-        """Take the announcement of a version."""
-        self._version_by_name[name] = max(version, self._version_by_name.get(name, 0))
+        self._limits = limits
 
     def reported(self, report: EngineReport, now_ms: float) -> None:
         """Take a report; one of another incarnation forgets what was ordered before."""
@@ -163,11 +175,11 @@
         entry: str,
         incarnation: str,
         *,
-        wanted: dict[Name, tuple[int, int]],
+        wanted: dict[Name, Want],
         in_use: dict[Name, int],
         now_ms: float,
     ) -> None:
-        """Take what an entry waits for, as (urgency, requests), and the runs it has here.
+        """Take what an entry waits for, and the runs it has here.
 
         A new incarnation of an entry has lost the runs of the one before; those may still be at
         the engine, which waits for their end before it evicts.
@@ -175,11 +187,14 @@
         self._demand_by_entry[entry] = _Demand(incarnation, now_ms, wanted, in_use)
         for name in (*wanted, *in_use):
             self._used_ms_by_name[name] = now_ms
+        for name, want in wanted.items():
+            known = self._version_by_name.get(name, 0)
+            self._version_by_name[name] = max(known, want.version)
 
     def next_order(self, now_ms: float) -> EngineOrder | None:
         """Return the order to send now, or None; its result is due before the next."""
-        report, shape = self._report, self._shape
-        if report is None or shape is None or self._pending is not None:
+        report, limits = self._report, self._limits
+        if report is None or limits is None or self._pending is not None:
             return None
         if now_ms < self._paused_until_ms or report.is_busy:
             return None
@@ -215,18 +230,18 @@
         """Return a load of a base model for an engine that holds none."""
         if any(not adapter for _, adapter in self._report.resident) or self._report.on_the_way:
             return None
-        fitting = [
-            model
-            for model in self._shape.model_by_name.values()
-            if model.weights_mb <= self._shape.memory_mb
-        ]
-        if not fitting:
+        limits = self._limits
+        counts = {
+            model: 0
+            for model, weights_mb in limits.weights_mb_by_model.items()
+            if weights_mb <= limits.memory_mb
+        }
+        if not counts:
             return None
-        counts = {model.name: 0 for model in fitting}
         for demand in self._demand_by_entry.values():
-            for (model, _), (_, count) in demand.wanted.items():
+            for (model, _), want in demand.wanted.items():
                 if model in counts:
-                    counts[model] += count
+                    counts[model] += want.requests
         busiest = max(counts, key=lambda name: counts[name])
         return self._order(OrderKind.LOAD, (busiest, ""), None)
 
@@ -236,10 +251,10 @@
         for name in self._wanted(now_ms):
             if (name[0], "") not in self._report.resident:
                 continue
-            version = self._version_by_name.get(name)
+            version = self._version_by_name.get(name) or None
             if name in self._report.resident:
                 return self._order(OrderKind.LOAD, name, version)
-            if len(self._held()) < self._shape.adapter_places:
+            if len(self._held()) < self._limits.adapter_places:
                 return self._order(OrderKind.LOAD, name, version)
             return self._eviction(now_ms)
         return None
@@ -250,9 +265,9 @@
         for demand in self._demand_by_entry.values():
             if now_ms - demand.heard_ms > WANTED_LIFE_MS:
                 continue
-            for name, (urgency, count) in demand.wanted.items():
-                known_urgency, negative = rank_by_name.get(name, (urgency, 0))
-                rank_by_name[name] = min(urgency, known_urgency), negative - count
+            for name, want in demand.wanted.items():
+                urgency, negative = rank_by_name.get(name, (want.urgency, 0))
+                rank_by_name[name] = min(urgency, want.urgency), negative - want.requests
         missing = [name for name in rank_by_name if name[1] and not self._is_current(name)]
         return sorted(missing, key=lambda name: (rank_by_name[name], name))
 
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -302,8 +302,8 @@
     """What a relaying entry tells other entries, in a datagram.
 
     *granted* holds the tokens granted since the start by organisation; *loads* rows of
-    [endpoint address, its start, runs, tokens]; *table_version* is the configuration in force.
-    *suspects* are fingerprints of requests that an endpoint did not survive, with the crashes.
+    [endpoint address, its start, runs, tokens]. *table_version* is the configuration in force and
+    *announced* the sum of the adapters' versions: who holds less asks at *status* for the rest.
     """
 
     vm: str
@@ -311,17 +311,20 @@
     incarnation: str
     sequence: int
     domain: str
+    status: str
     table_version: int
+    announced: int
     granted: dict
     loads: list
-    suspects: dict
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdapterDemand:
     """What an entry wants of the engine beside an agent, in a datagram.
 
-    *wanted* holds rows of [model, adapter, urgency, requests], *in_use* of [model, adapter, runs].
+    *wanted* holds rows of [model, adapter, urgency, requests, least version], *in_use* of [model,
+    adapter, runs], and *models* of [model, MB of weights]. *places* and *memory_mb* are what the
+    engine can hold by the configuration.
     """
 
     vm: str
@@ -333,6 +336,9 @@
     started_ms: int
     wanted: list
     in_use: list
+    places: int
+    memory_mb: float
+    models: list
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -1,7 +1,8 @@
 """The platform's headers between callers, entries and endpoints."""
 
 from skylarkrack._errors import Code, RequestRefused
-from skylarkrack.core.relay import Call, ModelNeed
+from skylarkrack.core.relay import Call, ModelNeed, RoutingTable
+from skylarkrack.platform._documents import decode_table
 from skylarkrack.relay import Arrival, Passage, Verdict
 from skylarkrack.web import Headers, Request
 
@@ -69,6 +70,10 @@
 
     __slots__ = ()
 
+    def table_of(self, document: bytes) -> RoutingTable:
+        """Return the routing table in a configuration; raises `DocumentRejected`."""
+        return decode_table(document)
+
     def arrival_of(self, request: Request, now_ms: float) -> Arrival:
         """Return what a request asks; raises `RequestRefused` where it says too little."""
         request_id = request.header(_REQUEST_ID)
--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -18,11 +18,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
-    """A machine's settings. *service* is that of the engine beside it, "" without one."""
+    """A machine's settings, and the address of the platform's store."""
 
     relay: RelaySettings
     store: str
-    service: str
 
 
 def settings_path() -> str:
@@ -55,11 +54,7 @@
         status=value_by_key.get("listen.control"),
         engine=value_by_key.get("app"),
     )
-    return PlatformSettings(
-        relay=relay,
-        store=value_by_key["platform.addr"],
-        service=value_by_key.get("service", ""),
-    )
+    return PlatformSettings(relay=relay, store=value_by_key["platform.addr"])
 
 
 def _lines(text: str) -> dict[str, str]:
@@ -81,10 +76,5 @@
     try:
         return float(value_by_key.get(key) or default)
     except ValueError as error:
-        problem = f"{file_key(key)}: {value_by_key[key]!r} is no number"
+        problem = f"the key {key}: {value_by_key[key]!r} is no number"
         raise FileRejected((problem,), code=Code.BAD_SETTINGS) from error
-
-
-def file_key(key: str) -> str:
-    """Return how a key is named in messages."""
-    return f"the key {key}"
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -7,7 +7,6 @@
 from skylarkrack.platform._documents import (
     DocumentRejected,
     decode_endpoint,
-    decode_table,
     decode_version,
 )
 from skylarkrack.platform._store import HistoryLost, Item, Listing, Store
@@ -18,16 +17,17 @@
 VERSIONS = "op/version/"
 REGISTRATIONS = "servers/"
 
-WATCH_MS = 1500
-"""Wait of one watch. A connection that went silent is noticed this much later and a second more,
-and a configuration has to be in force within two seconds of calm."""
+WATCH_MS = 3000
+"""Wait of one watch. A connection that went silent is noticed this much later and a second more;
+a configuration has to be in force two seconds after the three that calm takes to count."""
 
 RETRY_MS = 150
 """Pause after a call that failed; the fleet's calls to a store that is busy stay few."""
 
-GATHER_MS = 120
+GATHER_MS = 400
 """Pause between watches of the registrations: each endpoint changes its own every second, and a
-call for each change would be a hundred a second over the fleet."""
+call for each change would be a hundred a second over the fleet. A leaving endpoint has to be known
+within two seconds."""
 
 MAX_RETRY_MS = 600
 
@@ -123,7 +123,7 @@
             return
         try:
             if item.key == TABLE_KEY:
-                self._listener.table_published(decode_table(item.value))
+                self._listener.table_published(item.value)
             elif item.key.startswith(VERSIONS):
                 self._listener.adapter_published(*decode_version(item.value))
         except DocumentRejected as error:
@@ -173,26 +173,19 @@
 
 
 class StoreWatcher:
-    """Follows what is published and, for an entry, the registrations; implements `Watcher`."""
+    """Follows what is published and the registrations; implements `Watcher`."""
 
     __slots__ = ("_followers", "_stores")
 
-    def __init__(
-        self, address: str, listener: RegistryListener, *, with_registrations: bool
-    ) -> None:
+    def __init__(self, address: str, listener: RegistryListener) -> None:
         # A connection each: a waiting watch keeps its connection to itself.
-        self._stores = [Store(address)]
-        self._followers = [Follower(self._stores[0], PUBLISHED, Teller(listener), gather_ms=0)]
-        if with_registrations:
-            self._stores.append(Store(address))
-            self._followers.append(
-                Follower(
-                    self._stores[1],
-                    REGISTRATIONS,
-                    RegistrationTeller(listener),
-                    gather_ms=GATHER_MS,
-                )
-            )
+        self._stores = (Store(address), Store(address))
+        self._followers = (
+            Follower(self._stores[0], PUBLISHED, Teller(listener), gather_ms=0),
+            Follower(
+                self._stores[1], REGISTRATIONS, RegistrationTeller(listener), gather_ms=GATHER_MS
+            ),
+        )
 
     def start(self) -> None:
         """Begin to read."""
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -22,22 +22,22 @@
 """Time between looks at the settings file, which may change without a signal."""
 
 
-def compose(role: str, settings: PlatformSettings) -> tuple[RelayEntry | EngineAgent, StoreWatcher]:
-    """Return the process of *role* and the watcher that feeds it."""
+def compose(
+    role: str, settings: PlatformSettings
+) -> tuple[RelayEntry | EngineAgent, StoreWatcher | None]:
+    """Return the process of *role*, and what reads the store for it if it needs that."""
     incarnation = secrets.token_hex(8)
     if role == "entry":
-        process = RelayEntry(settings.relay, dialect=PlatformDialect(), incarnation=incarnation)
-    else:
-        # Nothing of an agent outlasts it but the clock, so its calendar makes later fences higher.
-        process = EngineAgent(
-            settings.relay,
-            engine=PlatformEngine(settings.relay.engine),
-            service=settings.service,
-            incarnation=incarnation,
-            fence=int(time.time() * 1000),
-        )
-    watcher = StoreWatcher(settings.store, process, with_registrations=role == "entry")
-    return process, watcher
+        entry = RelayEntry(settings.relay, dialect=PlatformDialect(), incarnation=incarnation)
+        return entry, StoreWatcher(settings.store, entry)
+    # Nothing of an agent outlasts it but the clock, so its calendar makes later fences higher.
+    agent = EngineAgent(
+        settings.relay,
+        engine=PlatformEngine(settings.relay.engine),
+        incarnation=incarnation,
+        fence=int(time.time() * 1000),
+    )
+    return agent, None
 
 
 class SettingsFile:
@@ -79,14 +79,16 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     await process.start()
-    watcher.start()
+    if watcher is not None:
+        watcher.start()
     log(Event.PROCESS_STARTED, role=role, domain=settings.relay.domain)
     reloading = asyncio.create_task(_reload_forever(file, reload, process, sink))
     await stopping.wait()
     log(Event.PROCESS_STOPPING)
     await process.drain()
     reloading.cancel()
-    await watcher.close()
+    if watcher is not None:
+        await watcher.close()
     await process.close()
     log(Event.PROCESS_STOPPED)
 
--- a/src/skylarkrack/relay/_dialect.py
+++ b/src/skylarkrack/relay/_dialect.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from skylarkrack.core.relay import Call
+from skylarkrack.core.relay import Call, RoutingTable
 from skylarkrack.web import Headers, Request
 
 
@@ -46,6 +46,9 @@
 class Dialect(Protocol):
     """Decodes requests and answers, and encodes what is passed on."""
 
+    def table_of(self, document: bytes) -> RoutingTable:
+        """Return the routing table in a configuration; raises `ValueError`."""
+
     def arrival_of(self, request: Request, now_ms: float) -> Arrival:
         """Return what a request asks; raises `RequestRefused` where it says too little."""
 
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -9,11 +9,11 @@
 from skylarkrack._tasks import Tasks
 from skylarkrack.core.relay import (
     Contact,
-    Endpoint,
     EngineReport,
     Membership,
+    PlaceLimits,
     Places,
-    RoutingTable,
+    Want,
 )
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
 from skylarkrack.relay._datagrams import Datagrams
@@ -44,7 +44,6 @@
         "_metrics",
         "_places",
         "_sequence",
-        "_service",
         "_settings",
         "_tasks",
         "_told",
@@ -57,13 +56,11 @@
         settings: RelaySettings,
         *,
         engine: EnginePort,
-        service: str,
         incarnation: str,
         fence: int,
     ) -> None:
         self._settings = settings
         self._engine = engine
-        self._service = service
         self._incarnation = incarnation
         self._metrics = Metrics()
         self._tasks = Tasks()
@@ -97,36 +94,6 @@
         """Take what may change while the process runs: the seeds."""
         self._membership.set_seeds(settings.seeds)
 
-    # What the registry tells
-
-    def table_published(self, table: RoutingTable) -> None:
-        """Take the engine's shape."""
-        service = table.service_by_name.get(self._service)
-        if service is not None and service.engine is not None:
-            self._places.shape_known(service.engine)
-
-    def adapter_published(self, model: str, adapter: str, version: int) -> None:
-        """Note the newest version of an adapter."""
-        self._places.version_known((model, adapter), version)
-        log(Event.VERSION_ANNOUNCED, model=model, adapter=adapter, version=version)
-
-    def endpoint_put(self, endpoint: Endpoint) -> None:
-        """Endpoints do not concern an agent."""
-
-    def endpoint_removed(self, endpoint_id: str) -> None:
-        """Endpoints do not concern an agent."""
-
-    def endpoints_listed(self, endpoints: list[Endpoint], unreadable: set[str]) -> None:
-        """Endpoints do not concern an agent."""
-
-    def registry_lost(self, reason: str) -> None:
-        """Go on with what is known."""
-        log(Event.REGISTRY_LOST, reason=reason)
-
-    def registry_back(self) -> None:
-        """The registry answers again."""
-        log(Event.REGISTRY_BACK)
-
     # What entries tell
 
     def _hear(self, message: object) -> None:
@@ -162,10 +129,19 @@
         if report is None or report.started_ms != message.started_ms:
             return
         self._endpoint_id = (message.started_ms, message.endpoint_id)
+        limits = PlaceLimits(
+            adapter_places=message.places,
+            memory_mb=message.memory_mb,
+            weights_mb_by_model={row[0]: row[1] for row in message.models},
+        )
+        self._places.limits_known(limits)
         self._places.demanded(
             message.vm,
             message.incarnation,
-            wanted={(row[0], row[1]): (row[2], row[3]) for row in message.wanted},
+            wanted={
+                (row[0], row[1]): Want(urgency=row[2], requests=row[3], version=row[4])
+                for row in message.wanted
+            },
             in_use={(row[0], row[1]): row[2] for row in message.in_use},
             now_ms=now_ms,
         )
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -18,7 +18,6 @@
     EngineHeard,
     EngineState,
     Membership,
-    RoutingTable,
     TablePublished,
     Usage,
 )
@@ -29,6 +28,7 @@
 from skylarkrack.relay._endpoints import Endpoints
 from skylarkrack.relay._exchange import ExchangeParts
 from skylarkrack.relay._front import Front
+from skylarkrack.relay._handover import Handover
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
 
@@ -76,6 +76,7 @@
         "_dispatcher",
         "_endpoints",
         "_front",
+        "_handover",
         "_incarnation",
         "_is_leaving",
         "_is_listed",
@@ -129,9 +130,14 @@
             limits=ServerLimits(),
             name="readiness",
         )
+        self._handover = Handover(self._dispatcher, tasks=self._tasks, take=self.table_published)
         self._burn = BurnMeter()
         sources = StatusSources(
-            describe=self.describe, metrics=self._metrics, burn=self._burn, traces=Traces()
+            describe=self.describe,
+            metrics=self._metrics,
+            burn=self._burn,
+            traces=Traces(),
+            published=self._handover.published,
         )
         self._status = StatusServer(sources, limits=ServerLimits())
         self._agent_by_endpoint: dict[str, str] = {}
@@ -210,10 +216,12 @@
 
     # What the registry tells
 
-    def table_published(self, table: RoutingTable) -> None:
-        """Put a configuration in force unless it is older than the one held."""
+    def table_published(self, document: bytes) -> None:
+        """Put a configuration in force unless it is older; raises `ValueError` for a bad one."""
+        table = self._parts.dialect.table_of(document)
         if not self._dispatcher.observe(TablePublished(table=table)):
             return
+        self._handover.hold(document)
         log(Event.TABLE_ADOPTED, version=table.version, services=len(table.service_by_name))
         limits = table.limits
         self._callers.set_limits(
@@ -309,6 +317,7 @@
             vm=message.vm, address=message.address, role="entry", domain=message.domain
         )
         self._note_member(contact, now_ms)
+        self._handover.compare(message.status, message.table_version, message.announced)
         self._usage.heard(message.vm, message.incarnation, message.granted, now_ms)
         runs = {(row[0], row[1]): row[2] for row in message.loads}
         tokens = {(row[0], row[1]): row[3] for row in message.loads}
@@ -367,10 +376,11 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             domain=self._settings.domain,
+            status=self._settings.status or "",
             table_version=0 if table is None else table.version,
+            announced=self._dispatcher.announced,
             granted=self._usage.granted(),
             loads=[[key[0], key[1], runs, tokens] for key, (runs, tokens) in own.items()],
-            suspects={},
         )
         self._datagrams.send_to(state, entries)
 
@@ -398,7 +408,8 @@
 
     def _tell_agent(self, endpoint: Endpoint, now_ms: float) -> None:
         address = self._agent_by_endpoint.get(endpoint.address)
-        if address is None:
+        shape = self._dispatcher.shape_of(endpoint)
+        if address is None or shape is None:
             return
         self._demanded_ms_by_key[endpoint.key] = now_ms
         self._sequence += 1
@@ -412,8 +423,11 @@
             domain=self._settings.domain,
             endpoint_id=endpoint.endpoint_id,
             started_ms=endpoint.started_ms,
-            wanted=[[*name, urgency, count] for name, (urgency, count) in wanted.items()],
+            wanted=[[*n, w.urgency, w.requests, w.version] for n, w in wanted.items()],
             in_use=[[*name, count] for name, count in in_use.items()],
+            places=shape.adapter_places,
+            memory_mb=shape.memory_mb,
+            models=[[m.name, m.weights_mb] for m in shape.model_by_name.values()],
         )
         self._datagrams.send(demand, address)
 
--- /dev/null
+++ b/src/skylarkrack/relay/_handover.py
@@ -0,0 +1,69 @@
+"""The configuration, handed on between entries: who can't read the platform learns it from peers.
+
+A newer configuration replaces an older one wherever it comes from, so that an entry that is cut off
+from the platform, or new beside a platform that is away, does not serve by an older one.
+"""
+
+from collections.abc import Callable
+
+import msgpack
+
+from skylarkrack._errors import LinkLost
+from skylarkrack._events import Event, log
+from skylarkrack._tasks import Tasks
+from skylarkrack.core.relay import AdapterPublished, Dispatcher
+from skylarkrack.web import HttpClient
+
+FETCH_TIMEOUT_MS = 1000.0
+"""Entries of a region answer in milliseconds; a longer silence is a path that is cut."""
+
+
+class Handover:
+    """Keeps the newest configuration document, and fetches a newer one from a peer."""
+
+    __slots__ = ("_dispatcher", "_document", "_is_fetching", "_tasks", "_take")
+
+    def __init__(
+        self, dispatcher: Dispatcher, *, tasks: Tasks, take: Callable[[bytes], None]
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._tasks = tasks
+        self._take = take
+        self._document = b""
+        self._is_fetching = False
+
+    def hold(self, document: bytes) -> None:
+        """Keep the document of the configuration in force."""
+        self._document = document
+
+    def published(self) -> bytes:
+        """Return what a peer may fetch."""
+        rows = [[*name, version] for name, version in self._dispatcher.versions().items()]
+        return msgpack.packb([self._document, rows])
+
+    def compare(self, status: str, table_version: int, announced: int) -> None:
+        """Fetch from the peer at *status* if it holds something newer."""
+        table = self._dispatcher.table
+        own_version = 0 if table is None else table.version
+        is_newer = table_version > own_version or announced > self._dispatcher.announced
+        if status and is_newer and not self._is_fetching:
+            self._is_fetching = True
+            self._tasks.spawn(self._fetch(status))
+
+    async def _fetch(self, status: str) -> None:
+        client = HttpClient(status)
+        try:
+            response = await client.request("GET", "/published", timeout_ms=FETCH_TIMEOUT_MS)
+            document, rows = msgpack.unpackb(await response.whole(timeout_ms=FETCH_TIMEOUT_MS))
+            log(Event.TABLE_FETCHED, peer=status, bytes=len(document), versions=len(rows))
+            if document:
+                self._take(document)
+            for model, adapter, version in rows:
+                self._dispatcher.observe(
+                    AdapterPublished(model=model, adapter=adapter, version=version)
+                )
+        except (LinkLost, ValueError, TypeError) as error:
+            log(Event.TABLE_REJECTED, key=f"peer {status}", reason=repr(error))
+        finally:
+            client.close()
+            self._is_fetching = False
--- a/src/skylarkrack/relay/_registry.py
+++ b/src/skylarkrack/relay/_registry.py
@@ -2,14 +2,14 @@
 
 from typing import Protocol
 
-from skylarkrack.core.relay import Endpoint, EngineOrder, EngineReport, OrderResult, RoutingTable
+from skylarkrack.core.relay import Endpoint, EngineOrder, EngineReport, OrderResult
 
 
 class RegistryListener(Protocol):
     """Takes what a registry of endpoints and a configuration service tell."""
 
-    def table_published(self, table: RoutingTable) -> None:
-        """A configuration was read."""
+    def table_published(self, document: bytes) -> None:
+        """A configuration was read; raises `ValueError` where it can't be used."""
 
     def adapter_published(self, model: str, adapter: str, version: int) -> None:
         """A version of an adapter was announced."""
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -4,7 +4,6 @@
 import json
 
 from skylarkrack.core.relay import Endpoint, EngineHeard
-from skylarkrack.platform._documents import decode_table
 from skylarkrack.platform._headers import PlatformDialect
 from skylarkrack.relay import RelayEntry, RelaySettings
 from standins.platform_worker import PlatformWorker
@@ -79,7 +78,7 @@
         for worker in self.workers:
             await worker.start()
         await self.entry.start()
-        self.entry.table_published(decode_table(as_bytes(config())))
+        self.entry.table_published(as_bytes(config()))
         self.list_workers()
         return self
 
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -11,6 +11,7 @@
     Member,
     ModelNeed,
     ModelShape,
+    PlaceLimits,
     Quota,
     Route,
     RoutingTable,
@@ -62,6 +63,11 @@
     return EngineShape(**{**fields, **changes})
 
 
+def place_limits() -> PlaceLimits:
+    """Return three places and room for the base model."""
+    return PlaceLimits(adapter_places=3, memory_mb=200.0, weights_mb_by_model={MODEL: 100.0})
+
+
 def table(version: int = 1, **changes: object) -> RoutingTable:
     """Return a table with a route to engines, one to a desk, and the organisation `singers`."""
     desk = route("fees", is_stream=False, shares=(("desk", 1.0),), timeout_ms=800.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack.platform import _store, _watch
+from skylarkrack.platform._documents import decode_table
 from skylarkrack.platform._store import HistoryLost, Store
 from skylarkrack.platform._watch import StoreWatcher
 from standins.platform_store import PlatformStore, StoreFaults
@@ -22,8 +23,8 @@
         self.told.append(what)
         self._changed.set()
 
-    def table_published(self, table: object) -> None:
-        self._note("table", table.version)
+    def table_published(self, document: bytes) -> None:
+        self._note("table", decode_table(document).version)
 
     def adapter_published(self, model: str, adapter: str, version: int) -> None:
         self._note("adapter", model, adapter, version)
@@ -123,7 +124,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.listener = Listener()
-        self.watcher = StoreWatcher(self.address, self.listener, with_registrations=True)
+        self.watcher = StoreWatcher(self.address, self.listener)
         self.platform.put("op/config", as_bytes(config(3)))
         self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
         self.platform.put("servers/i-2", b"\xff")
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -10,6 +10,7 @@
     TablePublished,
     TurnAway,
     WaitFor,
+    Want,
 )
 from tests.relay_builders import MODEL, dispatcher, endpoint, need, state, table, ticket
 
@@ -38,7 +39,7 @@
             found.wait(waiting, decision)
             keys.add(decision.key)
         self.assertEqual(len(keys), 1)
-        self.assertEqual(found.wanted_at(keys.pop()), {(MODEL, "a1"): (1, 4)})
+        self.assertEqual(found.wanted_at(keys.pop()), {(MODEL, "a1"): Want(urgency=1, requests=4)})
 
     def test_a_full_engine_hands_a_popular_adapter_on(self) -> None:
         one, two = endpoint("e1"), endpoint("e2")
--- a/tests/test_relay_places.py
+++ b/tests/test_relay_places.py
@@ -5,27 +5,34 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from skylarkrack.core.relay import OrderKind, OrderResult, Places
+from skylarkrack.core.relay import OrderKind, OrderResult, Places, Want
 from skylarkrack.core.relay._places import UNCONFIRMED_MS
-from tests.relay_builders import MODEL, engine_shape, report
+from tests.relay_builders import MODEL, place_limits, report
 
 
 def places(*adapters: str) -> Places:
     """Return the places of an engine that holds *adapters* and has three places."""
     found = Places(fence=1)
-    found.shape_known(engine_shape())
+    found.limits_known(place_limits())
     found.reported(report(*adapters), 0.0)
     return found
 
 
 def want(
-    found: Places, *adapters: str, entry: str = "n1", now_ms: float = 0.0, **uses: int
+    found: Places,
+    *adapters: str,
+    entry: str = "n1",
+    now_ms: float = 0.0,
+    version: int = 0,
+    **uses: int,
 ) -> None:
     """Let an entry wait for *adapters* and use others."""
     found.demanded(
         entry,
         "i",
-        wanted={(MODEL, adapter): (1, 1) for adapter in adapters},
+        wanted={
+            (MODEL, adapter): Want(urgency=1, requests=1, version=version) for adapter in adapters
+        },
         in_use={(MODEL, adapter): count for adapter, count in uses.items()},
         now_ms=now_ms,
     )
@@ -101,7 +108,7 @@
 
     def test_an_empty_engine_gets_its_model_first(self) -> None:
         found = Places(fence=1)
-        found.shape_known(engine_shape())
+        found.limits_known(place_limits())
         found.reported(report(resident={}), 0.0)
         want(found, "a1")
         order = found.next_order(0.0)
@@ -109,8 +116,7 @@
 
     def test_a_newer_version_replaces_an_older_one(self) -> None:
         found = places("a1")
-        found.version_known((MODEL, "a1"), 2)
-        want(found, "a1")
+        want(found, "a1", version=2)
         order = found.next_order(0.0)
         self.assertEqual((order.kind, order.version), (OrderKind.LOAD, 2))
 
