--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -208,6 +208,7 @@
             "vm": self._settings.vm,
             "ready": self.is_ready,
             "table": None if table is None else table.version,
+            "announced": self._dispatcher.announced,
             "endpoints": [endpoint.endpoint_id for endpoint in self._dispatcher.directory.all()],
             "entries": [contact.vm for contact in self._membership.alive("entry", now_ms)],
             "agents": [contact.vm for contact in self._membership.alive("agent", now_ms)],
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 from skylarkrack.core.relay import Endpoint, EngineHeard
 from skylarkrack.platform._headers import PlatformDialect
@@ -56,6 +57,13 @@
     return json.dumps(document).encode()
 
 
+def free_address(kind: int = socket.SOCK_DGRAM) -> str:
+    """Return an address of the loopback that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
 class Rig:
     """An entry in this process, with stand-ins behind it and raw bytes before it."""
 
@@ -65,13 +73,14 @@
         settings = RelaySettings(
             vm="entry-1",
             domain="east",
-            peers="127.0.0.1:0",
+            peers=free_address(),
             seeds=(),
             grace_ms=8000.0,
             retry_slack=50.0,
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
         )
+        self.peers = settings.peers
         self.entry = RelayEntry(settings, dialect=PlatformDialect(), incarnation="i1")
 
     async def __aenter__(self) -> "Rig":
--- /dev/null
+++ b/tests/test_relay_fleet.py
@@ -0,0 +1,292 @@
+"""Entries and an agent in one process, talking over the loopback: who learns what from whom."""
+
+import asyncio
+import json
+import os
+import socket
+import unittest
+from pathlib import Path
+
+from skylarkrack._errors import LinkLost
+from skylarkrack.core.relay import (
+    Contact,
+    EngineOrder,
+    EngineReport,
+    Membership,
+    OrderKind,
+    OrderResult,
+)
+from skylarkrack.messages import Roster
+from skylarkrack.platform._headers import PlatformDialect
+from skylarkrack.relay import EngineAgent, LogSink, RelayEntry, RelaySettings
+from skylarkrack.wire import encode_body
+from standins.platform_worker import PlatformWorker, stream
+from tests.platform_builders import Rig, as_bytes, config, free_address, model_request
+from tests.relay_builders import MODEL, endpoint
+
+
+def settings(vm: str, *seeds: str, **changes: object) -> RelaySettings:
+    """Return the settings of an entry that starts with *seeds*."""
+    fields = {
+        "vm": vm,
+        "domain": "east",
+        "peers": free_address(),
+        "seeds": seeds,
+        "grace_ms": 8000.0,
+        "retry_slack": 50.0,
+        "callers": "127.0.0.1:0",
+        "readiness": "127.0.0.1:0",
+        "status": free_address(socket.SOCK_STREAM),
+    }
+    return RelaySettings(**{**fields, **changes})
+
+
+def entry(found: RelaySettings) -> RelayEntry:
+    """Return an entry."""
+    return RelayEntry(found, dialect=PlatformDialect(), incarnation=found.vm)
+
+
+async def until(condition: object, *, seconds: float = 5.0) -> None:
+    """Wait until *condition* holds; fail after a bound that no good run comes near."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110 - what is asked has no event of its own
+            await asyncio.sleep(0.01)
+
+
+class ObedientEngine:
+    """An engine port that carries out every order at once, or loses its answer."""
+
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, str], int] = {(MODEL, ""): 0}
+        self.orders: list[EngineOrder] = []
+        self.fences: list[int] = []
+        self.lost_answers = 0
+        self.is_away = False
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    async def report(self) -> EngineReport:
+        """Return what is held."""
+        if self.is_away:
+            raise LinkLost("away", sent=False)
+        return EngineReport(
+            started_ms=1000,
+            sequence=len(self.orders),
+            is_busy=False,
+            resident=dict(self.held),
+            on_the_way={},
+        )
+
+    async def order(
+        self, order: EngineOrder, *, endpoint_id: str, holder: str, fence: int
+    ) -> OrderResult:
+        """Carry out an order."""
+        self.orders.append(order)
+        self.fences.append(fence)
+        if order.kind is OrderKind.LOAD:
+            self.held[order.name] = order.version or 1
+        else:
+            self.held.pop(order.name)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return OrderResult.UNKNOWN
+        return OrderResult.ACCEPTED
+
+
+class TestEntries(unittest.IsolatedAsyncioTestCase):
+    """Entries find each other from one seed, and the newest configuration wins."""
+
+    async def start(self, *found: RelaySettings) -> list[RelayEntry]:
+        """Start entries that are closed at the test's end."""
+        entries = [entry(item) for item in found]
+        for item in entries:
+            await item.start()
+            self.addAsyncCleanup(item.close)
+        return entries
+
+    async def test_entries_find_each_other_through_one_seed(self) -> None:
+        seed = settings("n1")
+        others = [settings(f"n{n}", seed.peers) for n in (2, 3)]
+        entries = await self.start(seed, *others)
+        for item in entries:
+            await until(lambda item=item: len(item.describe()["entries"]) == 2)
+
+    async def test_a_newer_configuration_comes_from_a_peer(self) -> None:
+        seed = settings("n1")
+        one, two = await self.start(seed, settings("n2", seed.peers))
+        two.table_published(as_bytes(config(5)))
+        one.table_published(as_bytes(config(9)))
+        one.adapter_published(MODEL, "a1", 4)
+        await until(lambda: two.describe()["table"] == 9)
+        await until(lambda: two.describe()["announced"] == 4)
+
+    async def test_an_older_configuration_of_a_peer_changes_nothing(self) -> None:
+        seed = settings("n1")
+        one, two = await self.start(seed, settings("n2", seed.peers))
+        one.table_published(as_bytes(config(5)))
+        two.table_published(as_bytes(config(9)))
+        await until(lambda: one.describe()["table"] == 9)
+        self.assertEqual(two.describe()["table"], 9)
+
+    async def test_a_datagram_that_is_no_message(self) -> None:
+        seed = settings("n1")
+        (one,) = await self.start(seed)
+        host, port = seed.peers.split(":")
+        rows = (b"", b"\xff", encode_body(Roster(members=[])), encode_body(Roster(members=[["x"]])))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in rows:
+                sender.sendto(data, (host, int(port)))
+        other = settings("n2", seed.peers)
+        await self.start(other)
+        await until(lambda: one.describe()["entries"] == ["n2"])
+
+
+class TestAgent(unittest.IsolatedAsyncioTestCase):
+    """An adapter is loaded because a request waits for it, and the request is then sent."""
+
+    async def serve(self, engine: ObedientEngine) -> tuple[bytes, PlatformWorker]:
+        """Send one request for an adapter that the engine does not hold."""
+        worker = PlatformWorker([stream(b"id: 1\ndata: a\n\n")])
+        async with Rig(worker, service="llm") as rig:
+            rig.entry.endpoints_listed([], set())
+            agent = EngineAgent(
+                settings("s1", rig.peers, engine=worker.address),
+                engine=engine,
+                incarnation="i",
+                fence=7,
+            )
+            await agent.start()
+            try:
+                item = endpoint("e1", service="llm", address=worker.address)
+                rig.entry.endpoints_listed([item], set())
+                return await rig.ask(model_request(adapter="a2")), worker
+            finally:
+                await agent.close()
+
+    async def test_the_adapter_is_loaded_first(self) -> None:
+        engine = ObedientEngine()
+        got, worker = await self.serve(engine)
+        self.assertIn(b"data: a", got)
+        self.assertEqual([order.adapter for order in engine.orders], ["a2"])
+        self.assertEqual(engine.fences, [7])
+        self.assertEqual(worker.received[0].headers["x-expect-version"], "1")
+
+    async def test_an_order_whose_answer_is_lost_is_not_given_twice(self) -> None:
+        engine = ObedientEngine()
+        engine.lost_answers = 1
+        got, _ = await self.serve(engine)
+        self.assertIn(b"data: a", got)
+        self.assertEqual(len(engine.orders), 1)
+
+
+class TestMembership(unittest.TestCase):
+    """Members from seeds that may be stale, and those that are told of."""
+
+    def setUp(self) -> None:
+        self.own = Contact(vm="n1", address="a:1", role="entry", domain="x")
+        self.other = Contact(vm="n2", address="b:1", role="entry", domain="x")
+        self.membership = Membership(self.own)
+
+    def test_seeds_are_called_until_they_are_heard(self) -> None:
+        self.membership.set_seeds(("a:1", "b:1", "c:1"))
+        self.assertEqual(self.membership.to_call(0.0), ["b:1", "c:1"])
+        self.assertEqual(self.membership.to_call(500.0), [])
+        self.membership.heard(self.other, 600.0)
+        self.assertEqual(self.membership.to_call(1000.0), ["c:1"])
+
+    def test_a_lost_member_is_called_and_comes_back(self) -> None:
+        self.assertTrue(self.membership.heard(self.other, 0.0))
+        self.assertFalse(self.membership.heard(self.other, 100.0))
+        self.assertEqual(self.membership.alive("entry", 1000.0), [self.other])
+        self.assertEqual(self.membership.alive("entry", 9000.0), [])
+        self.assertEqual(self.membership.to_call(9000.0), ["b:1"])
+        self.assertTrue(self.membership.heard(self.other, 9100.0))
+
+    def test_whoever_was_only_told_of_is_not_alive(self) -> None:
+        self.membership.told(self.other, 0.0)
+        self.assertEqual(self.membership.alive("entry", 0.0), [])
+        self.assertEqual(self.membership.to_call(0.0), ["b:1"])
+        self.assertEqual(self.membership.telling(0.0), [self.own])
+
+    def test_a_member_that_is_gone_for_long_is_forgotten(self) -> None:
+        self.membership.heard(self.other, 0.0)
+        self.assertEqual(self.membership.to_call(200_000.0), [])
+
+
+class TestLogSink(unittest.IsolatedAsyncioTestCase):
+    """The log never blocks: what is not read is dropped and counted."""
+
+    async def test_a_reader_that_does_not_read(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        sink = LogSink(writing)
+        sink.start()
+        for _ in range(3000):
+            sink.write("x" * 1000 + "\n")
+        await asyncio.sleep(0)
+        self.assertGreater(sink.dropped, 0)
+
+    async def test_a_reader_that_has_gone(self) -> None:
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, writing)
+        os.close(reading)
+        sink = LogSink(writing)
+        sink.start()
+        sink.write("line\n")
+        await asyncio.sleep(0)
+        self.assertEqual(sink.dropped, 1)
+        sink.close()
+
+    async def test_lines_arrive_whole_and_in_order(self) -> None:
+        reading, writing = os.pipe()
+        sink = LogSink(writing)
+        sink.start()
+        for number in range(5):
+            sink.write(json.dumps(number) + "\n")
+        await asyncio.sleep(0)
+        sink.close()
+        os.close(writing)
+        self.assertEqual(os.read(reading, 100), b"0\n1\n2\n3\n4\n")
+        os.close(reading)
+
+
+class TestBoundary(unittest.TestCase):
+    """Nothing outside `platform/` knows the platform's names."""
+
+    NAMES = (
+        "x-attempt-id",
+        "x-deadline-ms",
+        "x-expect-instance",
+        "x-response-seal",
+        "x-token-count",
+        "x-not-executed",
+        "x-tenant",
+        "traffic-split",
+        "target-latency-ms",
+        "kv-watch",
+        "kv-range",
+        "cold-left-ms",
+        "adapter-slots",
+        "node-name",
+        "skylarkrack_boot",
+    )
+
+    def test_names_stay_in_the_folder(self) -> None:
+        source = Path("src/skylarkrack")
+        inside = "".join(p.read_text().lower() for p in (source / "platform").glob("*.py"))
+        for name in self.NAMES:
+            self.assertIn(name, inside)
+        for path in source.rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text().lower()
+            with self.subTest(path=str(path)):
+                self.assertEqual([name for name in self.NAMES if name in text], [])
+
+    def test_the_folder_is_small(self) -> None:
+        source = Path("src/skylarkrack")
+        lines = {p: p.read_text().count("\n") for p in source.rglob("*.py")}
+        inside = sum(count for path, count in lines.items() if path.parent.name == "platform")
+        self.assertLess(inside * 5, sum(lines.values()))
