Log what decided a request's way and how old it was; cut streams of withdrawn keys where asked; give unused quota back

Cause: a line at a request's end did not say by which table, how fresh a report and how many runs it was placed; a request that was refused as not run kept its tokens; bounds.strict-revoke was not read. Tests: withdrawn key with and without the cut, three refused requests leave the quota whole.

--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -58,7 +58,7 @@
 
 
 class Settings(_Table):
-    """Settings of one daemon process; docs/OPERATING.md explains each key."""
+    """Settings of one daemon process; docs/OPERATIONS.md explains each key."""
 
     role: Literal["entry", "agent"]
     vm: Name
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -29,7 +29,10 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """A request on its way to an endpoint. *tried* are incarnations that did not take it."""
+    """A request on its way to an endpoint. *tried* are incarnations that did not take it.
+
+    *cost* is what it took of its organisation's quota; *key_digest* stands for the caller's key.
+    """
 
     call: Call
     route: Route
@@ -37,6 +40,8 @@
     priority: int
     ends_ms: float
     organisation: str | None = None
+    cost: float = 0.0
+    key_digest: bytes | None = None
     tried: set[Key] = field(default_factory=set)
     waits_at: Key | None = None
 
@@ -53,11 +58,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SendTo:
-    """Send the request to *endpoint*, which holds *version* of the adapter."""
+    """Send the request to *endpoint*, which holds *version* of the adapter.
+
+    What decided it: the expected delay, the runs believed to be there, and the age of what the
+    engine's agent told, in ms (None without an agent).
+    """
 
     endpoint: Endpoint
     version: int | None
     cost_ms: float
+    runs: int
+    state_age_ms: float | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -274,15 +285,26 @@
     def _choose(self, ticket: Ticket, ranked: list[Candidate], now_ms: float) -> Decision:
         best = ranked[0]
         if best.is_ready:
-            return SendTo(endpoint=best.endpoint, version=best.version, cost_ms=best.cost_ms)
+            return self._send_to(best, now_ms)
         left_ms = ticket.ends_ms - now_ms
         shortest_ms = SHORTEST_RUN_PART * ticket.route.objective_ms
         ready = next((candidate for candidate in ranked if candidate.is_ready), None)
         if ready is not None and ready.cost_ms < min(left_ms, best.cost_ms + PREFER_READY_MS):
-            return SendTo(endpoint=ready.endpoint, version=ready.version, cost_ms=ready.cost_ms)
+            return self._send_to(ready, now_ms)
         if best.cost_ms + shortest_ms > left_ms:
             retry_after_ms = min(best.cost_ms, max(RETRY_SOON_MS, left_ms / 3))
             return TurnAway(
                 code=Code.QUEUE_FULL, reason="no place in time", retry_after_ms=retry_after_ms
             )
         return WaitFor(key=best.endpoint.key, cost_ms=best.cost_ms)
+
+    def _send_to(self, candidate: Candidate, now_ms: float) -> SendTo:
+        key = candidate.endpoint.key
+        state = self._state_by_key.get(key)
+        return SendTo(
+            endpoint=candidate.endpoint,
+            version=candidate.version,
+            cost_ms=candidate.cost_ms,
+            runs=self.load.runs(key, now_ms),
+            state_age_ms=None if state is None else now_ms - state.received_ms,
+        )
--- a/src/skylarkrack/core/relay/_table.py
+++ b/src/skylarkrack/core/relay/_table.py
@@ -124,6 +124,11 @@
             return None
         return self.organisation_by_digest.get(digest_of_key(key))
 
+    def still_holds(self, digest: bytes, organisation: str) -> bool:
+        """Tell whether a key that was admitted for *organisation* still belongs to it."""
+        member = (self.organisation_by_digest or {}).get(digest)
+        return member is not None and member.name == organisation
+
 
 def digest_of_key(key: str) -> bytes:
     """Return what is kept of a caller's key."""
--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -53,6 +53,7 @@
         readiness=value_by_key.get("listen.ready"),
         status=value_by_key.get("listen.control"),
         engine=value_by_key.get("app"),
+        cuts_withdrawn=value_by_key.get("bounds.strict-revoke") == "true",
     )
     return PlatformSettings(relay=relay, store=value_by_key["platform.addr"])
 
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -108,12 +108,11 @@
             dialect=dialect,
             endpoints=self._endpoints,
             metrics=self._metrics,
+            usage=self._usage,
             retries_by_service={},
             most_retries=settings.retry_slack * RETRY_PART,
         )
-        self._front = Front(
-            desk=self._desk, usage=self._usage, parts=self._parts, tasks=self._tasks
-        )
+        self._front = Front(desk=self._desk, parts=self._parts, tasks=self._tasks)
         own = Contact(vm=settings.vm, address=settings.peers, role="entry", domain=settings.domain)
         self._membership = Membership(own)
         self._membership.set_seeds(settings.seeds)
@@ -193,6 +192,10 @@
         """Host and port that callers reach."""
         return self._callers.listens_at
 
+    def granted(self) -> dict[str, float]:
+        """Return what this entry granted of the quotas since its start, by organisation."""
+        return self._usage.granted()
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -223,6 +226,10 @@
         if not self._dispatcher.observe(TablePublished(table=table)):
             return
         self._handover.hold(document)
+        if self._settings.cuts_withdrawn:
+            cut = self._front.cut_withdrawn(table)
+            if cut:
+                log(Event.STREAM_CUT, requests=cut, table=table.version)
         log(Event.TABLE_ADOPTED, version=table.version, services=len(table.service_by_name))
         limits = table.limits
         self._callers.set_limits(
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -8,7 +8,7 @@
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack.core import RetryBudget
-from skylarkrack.core.relay import Endpoint, SendTo, Ticket
+from skylarkrack.core.relay import Endpoint, SendTo, Ticket, Usage
 from skylarkrack.relay._desk import Desk
 from skylarkrack.relay._dialect import Dialect, Passage, Verdict
 from skylarkrack.relay._endpoints import Endpoints
@@ -47,6 +47,7 @@
     dialect: Dialect
     endpoints: Endpoints
     metrics: Metrics
+    usage: Usage
     retries_by_service: dict[str, RetryBudget]
     most_retries: float
 
@@ -70,8 +71,8 @@
         "_responder",
         "_runs",
         "_sends",
-        "_ticket",
         "state",
+        "ticket",
     )
 
     def __init__(
@@ -80,7 +81,7 @@
         self._parts = parts
         self._request = request
         self._responder = responder
-        self._ticket = ticket
+        self.ticket = ticket
         self._events = EventStream() if ticket.route.is_stream else None
         self._sends = 0
         self._runs = 0
@@ -89,12 +90,12 @@
     @property
     def outlives_caller(self) -> bool:
         """Whether the request has to go on when its caller leaves: it was sent and runs once."""
-        route = self._ticket.route
+        route = self.ticket.route
         return self.state == "sent" and not route.is_idempotent and not route.is_stream
 
     async def run(self) -> None:
         """Bring the request to its final answer."""
-        ticket, budget = self._ticket, self._budget()
+        ticket, budget = self.ticket, self._budget()
         budget.earn()
         try:
             left_ms = ticket.ends_ms - monotonic_ms() + ANSWER_SLACK_MS
@@ -110,7 +111,7 @@
             self.state = "placing"
             began_ms = monotonic_ms()
             try:
-                placed = await self._parts.desk.place(self._ticket)
+                placed = await self._parts.desk.place(self.ticket)
             except RequestRefused as refusal:
                 raise self._worst(refusal) from None
             self._note_wait(placed, monotonic_ms() - began_ms)
@@ -118,19 +119,19 @@
                 await self._offer(placed)
                 return
             except _TryAgain as again:
-                self._ticket.tried.add(placed.endpoint.key)
+                self.ticket.tried.add(placed.endpoint.key)
                 self._check_retry(again, budget)
                 log(
                     Event.RELAY_RETRIED,
-                    request=self._ticket.call.request_id,
+                    request=self.ticket.call.request_id,
                     endpoint=placed.endpoint.endpoint_id,
                     reason=str(again),
                 )
-                self._parts.metrics.count("retried_total", self._ticket.service_name)
+                self._parts.metrics.count("retried_total", self.ticket.service_name)
 
     def _check_retry(self, again: _TryAgain, budget: RetryBudget) -> None:
         """Raise the final refusal unless the request may be sent once more."""
-        route = self._ticket.route
+        route = self.ticket.route
         if again.was_sent:
             self._sends += 1
         if again.has_run:
@@ -155,7 +156,7 @@
 
     async def _offer(self, placed: SendTo) -> None:
         """Send the request to one endpoint and hand its answer on; raises `_TryAgain`."""
-        endpoint, need = placed.endpoint, self._ticket.need
+        endpoint, need = placed.endpoint, self.ticket.need
         tokens = 0 if need is None else need.tokens
         model = "" if need is None else need.model
         adapter = "" if need is None else need.adapter or ""
@@ -164,7 +165,7 @@
         try:
             response = await self._send(placed)
             try:
-                await self._take_answer(response, endpoint)
+                await self._take_answer(response, placed)
             finally:
                 response.close()
         finally:
@@ -174,7 +175,7 @@
 
     async def _send(self, placed: SendTo) -> ClientResponse:
         """Send the request; return an answer that belongs to it."""
-        endpoint, route = placed.endpoint, self._ticket.route
+        endpoint, route = placed.endpoint, self.ticket.route
         health, request = self._parts.desk.dispatcher.health, self._request
         now_ms = monotonic_ms()
         self.state = "sent"
@@ -203,25 +204,26 @@
         return response
 
     def _is_own(self, headers: list) -> bool:
-        return self._parts.dialect.is_answer_to(self._ticket.call.request_id, headers)
+        return self._parts.dialect.is_answer_to(self.ticket.call.request_id, headers)
 
     def _passage(self, placed: SendTo, now_ms: float) -> Passage:
         resume_after = None
         if self._events is not None:
-            resume_after = self._events.last_id or self._ticket.call.resume_after
+            resume_after = self._events.last_id or self.ticket.call.resume_after
         return Passage(
             endpoint_id=placed.endpoint.endpoint_id,
             remaining_ms=self._left_ms(now_ms),
-            organisation=self._ticket.organisation,
-            urgency=min(MAX_URGENCY, FIRST_URGENCY + self._ticket.priority),
+            organisation=self.ticket.organisation,
+            urgency=min(MAX_URGENCY, FIRST_URGENCY + self.ticket.priority),
             version=placed.version or None,
             resume_after=resume_after,
         )
 
     def _left_ms(self, now_ms: float) -> float:
-        return max(1.0, self._ticket.ends_ms - now_ms)
+        return max(1.0, self.ticket.ends_ms - now_ms)
 
-    async def _take_answer(self, response: ClientResponse, endpoint: Endpoint) -> None:
+    async def _take_answer(self, response: ClientResponse, placed: SendTo) -> None:
+        endpoint = placed.endpoint
         verdict = self._parts.dialect.verdict_of(response.status, response.headers)
         if verdict.was_not_run:
             await self._turned_away(response, endpoint, verdict)
@@ -229,9 +231,9 @@
         if not is_good:
             self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
         if self._events is not None and is_good:
-            await self._pass_stream(response, endpoint, verdict)
+            await self._pass_stream(response, placed, verdict)
         else:
-            await self._pass_whole(response, endpoint, verdict)
+            await self._pass_whole(response, placed, verdict)
 
     async def _turned_away(
         self, response: ClientResponse, endpoint: Endpoint, verdict: Verdict
@@ -244,17 +246,16 @@
             # Only the connection is lost; the head has said all that matters.
             response.close()
         if verdict.lacks_adapter:
-            if self._ticket.need is not None:
-                dispatcher.missing(endpoint.key, self._ticket.need)
+            if self.ticket.need is not None:
+                dispatcher.missing(endpoint.key, self.ticket.need)
         else:
             dispatcher.health.failed(endpoint.key, monotonic_ms())
         raise _TryAgain(f"not run: status {response.status}", was_sent=True, has_run=False)
 
-    async def _pass_whole(
-        self, response: ClientResponse, endpoint: Endpoint, verdict: Verdict
-    ) -> None:
+    async def _pass_whole(self, response: ClientResponse, placed: SendTo, verdict: Verdict) -> None:
         """Hand on an answer that was read whole, or send the request again if that is allowed."""
-        route = self._ticket.route
+        endpoint = placed.endpoint
+        route = self.ticket.route
         try:
             body = await response.whole(timeout_ms=self._left_ms(monotonic_ms()))
         except LinkLost as error:
@@ -267,7 +268,7 @@
             raise _TryAgain(f"failed with status {response.status}", was_sent=True, has_run=True)
         headers = self._parts.dialect.headers_for_caller(response.headers)
         self._responder.whole(response.status, headers, body)
-        self._ended(endpoint, response.status)
+        self._ended(placed, response.status)
 
     def _may_run_again(self, route: object) -> bool:
         left_ms = self._left_ms(monotonic_ms())
@@ -276,9 +277,10 @@
         return is_allowed and is_in_time and self._budget().has_left()
 
     async def _pass_stream(
-        self, response: ClientResponse, endpoint: Endpoint, verdict: Verdict
+        self, response: ClientResponse, placed: SendTo, verdict: Verdict
     ) -> None:
         """Hand on the events of a stream as they come."""
+        endpoint = placed.endpoint
         if not verdict.is_proven:
             raise _TryAgain("a stream without proof", was_sent=True, has_run=True)
         health, sent_ms = self._parts.desk.dispatcher.health, monotonic_ms()
@@ -301,19 +303,19 @@
             self._events.drop_partial()
             raise _TryAgain("ended within an event", was_sent=True, has_run=True)
         self._responder.end()
-        self._ended(endpoint, response.status)
+        self._ended(placed, response.status)
 
     def _pass_events(self, response: ClientResponse, events: bytes) -> None:
         if not self._responder.has_started:
             headers = self._parts.dialect.headers_for_caller(response.headers)
             self._responder.start(response.status, headers)
-            waited_ms = monotonic_ms() - self._ticket.call.arrived_ms
-            self._parts.metrics.observe_ms("first_event_ms", waited_ms, self._ticket.route.name)
+            waited_ms = monotonic_ms() - self.ticket.call.arrived_ms
+            self._parts.metrics.observe_ms("first_event_ms", waited_ms, self.ticket.route.name)
         self._responder.send(events)
         self._parts.metrics.count("events_total")
 
     def _budget(self) -> RetryBudget:
-        budgets, name = self._parts.retries_by_service, self._ticket.service_name
+        budgets, name = self._parts.retries_by_service, self.ticket.service_name
         if name not in budgets:
             budgets[name] = RetryBudget(self._parts.most_retries)
         return budgets[name]
@@ -323,36 +325,42 @@
             return
         log(
             Event.RELAY_WAITED,
-            request=self._ticket.call.request_id,
+            request=self.ticket.call.request_id,
             endpoint=placed.endpoint.endpoint_id,
             waited_ms=round(waited_ms),
             cost_ms=round(placed.cost_ms),
         )
-        self._parts.metrics.observe_ms("placed_after_ms", waited_ms, self._ticket.service_name)
+        self._parts.metrics.observe_ms("placed_after_ms", waited_ms, self.ticket.service_name)
 
-    def _ended(self, endpoint: Endpoint, status: int) -> None:
-        took_ms = monotonic_ms() - self._ticket.call.arrived_ms
+    def _ended(self, placed: SendTo, status: int) -> None:
+        took_ms = monotonic_ms() - self.ticket.call.arrived_ms
         self.state = "ended"
+        table, age_ms = self._parts.desk.dispatcher.table, placed.state_age_ms
         log(
             Event.RELAY_ENDED,
-            request=self._ticket.call.request_id,
-            organisation=self._ticket.organisation,
-            route=self._ticket.route.name,
-            endpoint=endpoint.endpoint_id,
+            request=self.ticket.call.request_id,
+            organisation=self.ticket.organisation,
+            route=self.ticket.route.name,
+            table=table.version,
+            endpoint=placed.endpoint.endpoint_id,
+            version=placed.version,
+            cost_ms=round(placed.cost_ms),
+            runs=placed.runs,
+            state_age_ms=None if age_ms is None else round(age_ms),
             status=status,
             sends=self._sends + 1,
             took_ms=round(took_ms),
         )
         self._parts.metrics.count("answered_total", str(status))
-        self._parts.metrics.observe_ms("took_ms", took_ms, self._ticket.route.name)
+        self._parts.metrics.observe_ms("took_ms", took_ms, self.ticket.route.name)
 
     def _fail(self, refusal: RequestRefused) -> None:
-        took_ms = monotonic_ms() - self._ticket.call.arrived_ms
+        took_ms = monotonic_ms() - self.ticket.call.arrived_ms
         log(
             Event.RELAY_BROKEN if self._responder.has_started else Event.RELAY_REFUSED,
-            request=self._ticket.call.request_id,
-            organisation=self._ticket.organisation,
-            route=self._ticket.route.name,
+            request=self.ticket.call.request_id,
+            organisation=self.ticket.organisation,
+            route=self.ticket.route.name,
             code=int(refusal.code),
             outcome=str(refusal.outcome),
             reason=str(refusal),
@@ -361,7 +369,9 @@
             took_ms=round(took_ms),
         )
         self._parts.metrics.count("refused_total", refusal.code.name.lower())
+        if refusal.outcome is Outcome.NOT_RUN and self.ticket.cost:
+            self._parts.usage.give_back(self.ticket.organisation, self.ticket.cost)
         self.state = "ended"
-        request_id = self._ticket.call.request_id
+        request_id = self.ticket.call.request_id
         headers = self._parts.dialect.headers_of_own_answer(request_id)
         write_refusal(self._responder, refusal, headers)
--- a/src/skylarkrack/relay/_front.py
+++ b/src/skylarkrack/relay/_front.py
@@ -7,7 +7,15 @@
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack._tasks import Tasks
-from skylarkrack.core.relay import Member, Quota, Route, RoutingTable, Ticket, Usage
+from skylarkrack.core.relay import (
+    Member,
+    Quota,
+    Route,
+    RoutingTable,
+    Ticket,
+    Usage,
+    digest_of_key,
+)
 from skylarkrack.relay._desk import Desk
 from skylarkrack.relay._dialect import Arrival, Dialect
 from skylarkrack.relay._exchange import Exchange, ExchangeParts
@@ -26,11 +34,12 @@
 class Front:
     """The callers' side of a relaying entry."""
 
-    __slots__ = ("_desk", "_dialect", "_metrics", "_parts", "_tasks", "_usage")
+    __slots__ = ("_desk", "_dialect", "_metrics", "_parts", "_running", "_tasks", "_usage")
 
-    def __init__(self, *, desk: Desk, usage: Usage, parts: ExchangeParts, tasks: Tasks) -> None:
+    def __init__(self, *, desk: Desk, parts: ExchangeParts, tasks: Tasks) -> None:
         self._desk = desk
-        self._usage = usage
+        self._usage: Usage = parts.usage
+        self._running: dict[Exchange, asyncio.Task] = {}
         self._parts = parts
         self._dialect: Dialect = parts.dialect
         self._metrics: Metrics = parts.metrics
@@ -48,9 +57,14 @@
             return
         exchange = Exchange(self._parts, request, responder, ticket)
         running = self._tasks.spawn(exchange.run())
+        self._running[exchange] = running
+        running.add_done_callback(lambda _: self._running.pop(exchange))
         try:
             await asyncio.shield(running)
         except asyncio.CancelledError:
+            if running.cancelled():
+                # Its access was withdrawn; the connection ends without the answer's end.
+                return
             # The caller has left. What may not run twice and was sent runs to its end.
             if not exchange.outlives_caller:
                 running.cancel()
@@ -59,6 +73,18 @@
             self._metrics.count("callers_left_total")
             raise
 
+    def cut_withdrawn(self, table: RoutingTable) -> int:
+        """Cut the requests whose key is no longer their organisation's; return how many."""
+        cut = 0
+        for exchange, running in list(self._running.items()):
+            ticket = exchange.ticket
+            if ticket.key_digest is None:
+                continue
+            if not table.still_holds(ticket.key_digest, ticket.organisation):
+                running.cancel()
+                cut += 1
+        return cut
+
     def refuse_unread(self, responder: Responder, refusal: RequestRefused) -> None:
         """Answer a request that could not be read."""
         self._refuse(responder, refusal, None)
@@ -75,8 +101,7 @@
         if route is None:
             raise RequestRefused("no such route", code=Code.NO_SUCH_PATH)
         member = self._member_of(table, route, arrival)
-        if member is not None:
-            self._take_quota(member, arrival, now_ms)
+        cost = 0.0 if member is None else self._take_quota(member, arrival, now_ms)
         priority = route.priority
         if member is not None and member.priority is not None:
             priority = member.priority
@@ -87,6 +112,8 @@
             priority=priority,
             ends_ms=arrival.call.ends_ms(route.timeout_ms),
             organisation=None if member is None else member.name,
+            cost=cost,
+            key_digest=None if member is None else digest_of_key(arrival.key),
         )
 
     def _member_of(self, table: RoutingTable, route: Route, arrival: Arrival) -> Member | None:
@@ -99,10 +126,11 @@
             raise RequestRefused("unknown key", code=Code.UNKNOWN_KEY)
         return member
 
-    def _take_quota(self, member: Member, arrival: Arrival, now_ms: float) -> None:
+    def _take_quota(self, member: Member, arrival: Arrival, now_ms: float) -> float:
+        """Take the request's cost of its organisation's quota and return it."""
         cost = _cost_of(member.quota, arrival)
         if self._usage.take(member.name, cost, member.quota, now_ms):
-            return
+            return cost
         wait_ms = max(MIN_QUOTA_RETRY_MS, self._usage.wait_ms(member.name, member.quota))
         raise RequestRefused(
             f"the rate of {member.name} is used up",
--- a/src/skylarkrack/relay/_settings.py
+++ b/src/skylarkrack/relay/_settings.py
@@ -9,8 +9,8 @@
 
     Addresses are `IP:port`; those that a role does not listen on are None. *seeds* are peers'
     addresses. *grace_ms* is the time from a planned stop's signal to the kill; *retry_slack* the
-    fleet's retries beyond its ratio in ten seconds. *max_age_ms* bounds what an engine's agent
-    may leave unsaid.
+    fleet's retries beyond its ratio in ten seconds. With *cuts_withdrawn* a request that runs is
+    cut when its key is withdrawn; without it the answer under way ends.
     """
 
     vm: str
@@ -23,3 +23,4 @@
     readiness: str | None = None
     status: str | None = None
     engine: str | None = None
+    cuts_withdrawn: bool = False
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -67,7 +67,9 @@
 class Rig:
     """An entry in this process, with stand-ins behind it and raw bytes before it."""
 
-    def __init__(self, *workers: PlatformWorker, service: str = "desk") -> None:
+    def __init__(
+        self, *workers: PlatformWorker, service: str = "desk", cuts_withdrawn: bool = False
+    ) -> None:
         self.workers = workers
         self._service = service
         settings = RelaySettings(
@@ -79,6 +81,7 @@
             retry_slack=50.0,
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
+            cuts_withdrawn=cuts_withdrawn,
         )
         self.peers = settings.peers
         self.entry = RelayEntry(settings, dialect=PlatformDialect(), incarnation="i1")
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -13,7 +13,7 @@
     stream,
     without_length,
 )
-from tests.platform_builders import Rig, model_request, request
+from tests.platform_builders import Rig, as_bytes, config, model_request, request
 
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 
@@ -306,3 +306,49 @@
             writer.close()
         self.assertEqual(rest, b"done")
         self.assertEqual(len(worker.received), 1)
+
+
+class TestWithdrawnKeys(PathTest):
+    """A key that is withdrawn stops working for a caller that is still connected."""
+
+    async def withdraw(self, *, cuts: bool) -> tuple[bytes, bytes]:
+        """Withdraw the key while a stream runs; return the stream and the next answer."""
+        go_on = asyncio.Event()
+
+        async def two_parts(seen: object, writer: asyncio.StreamWriter) -> bool:
+            await stream(EVENTS[0], ends=False)(seen, writer)
+            await go_on.wait()
+            writer.write(f"{len(EVENTS[1]):x}\r\n".encode() + EVENTS[1] + b"\r\n0\r\n\r\n")
+            return True
+
+        worker = PlatformWorker([two_parts])
+        async with Rig(worker, service="llm", cuts_withdrawn=cuts) as rig:
+            reader, writer = await rig.connect()
+            writer.write(model_request())
+            got = await reader.readuntil(EVENTS[0])
+            rig.entry.table_published(as_bytes(config(2, tenants=[])))
+            go_on.set()
+            got += await asyncio.wait_for(reader.read(-1), 2)
+            writer.close()
+            return got, await rig.ask(model_request().replace(b"r1", b"r2"))
+
+    async def test_the_next_request_is_refused(self) -> None:
+        got, after = await self.withdraw(cuts=False)
+        self.assertTrue(is_whole(got))
+        self.assertEqual(status_of(after), 401)
+
+    async def test_the_stream_is_cut_where_that_is_asked_for(self) -> None:
+        got, after = await self.withdraw(cuts=True)
+        self.assertFalse(is_whole(got))
+        self.assertEqual(status_of(after), 401)
+
+
+class TestQuota(PathTest):
+    """What surely did not run takes nothing of the quota."""
+
+    async def test_a_refused_request_gives_its_tokens_back(self) -> None:
+        worker = PlatformWorker([refusal()])
+        async with Rig(worker) as rig:
+            for number in range(3):
+                await rig.ask(request(request_id=f"r{number}"))
+            self.assertEqual(rig.entry.granted(), {"singers": 0.0})
