Refuse a relayed request that ran at two endpoints when they died

Cause: nothing bounded how many endpoints one request takes down when its caller sends it again. Change: answers lost at an endpoint make suspects of their requests once it is found dead: it refuses a connection that is opened to find out, its registration ends, or it started anew. Uses the product's Suspicion.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -1,6 +1,7 @@
 """Decisions of the relaying entry and of the agent that orders an engine's adapters."""
 
 from skylarkrack.core.relay._call import Call, ModelNeed
+from skylarkrack.core.relay._crashes import Crashes
 from skylarkrack.core.relay._directory import RETURN_GRACE_MS, Directory, Endpoint
 from skylarkrack.core.relay._dispatch import (
     AdapterPublished,
@@ -45,6 +46,7 @@
     "Call",
     "CallerLimits",
     "Contact",
+    "Crashes",
     "Decision",
     "Directory",
     "Dispatcher",
--- /dev/null
+++ b/src/skylarkrack/core/relay/_crashes.py
@@ -0,0 +1,80 @@
+"""Requests that may crash the endpoints that run them, by what entries see of both.
+
+A request whose answer was lost is a suspect of that endpoint's crash if the endpoint is then found
+dead: it refuses connections, its registration ends, or it has started anew. All that ran there are
+suspects; only one that is among them at two crashes is refused, and one that ends well is cleared.
+"""
+
+from collections import OrderedDict
+
+from skylarkrack.core._suspicion import Suspicion
+
+LOSS_LIFE_MS = 15_000.0
+"""Time in which a death still explains a lost answer; registrations lapse within seconds."""
+
+MAX_LOSSES = 1000
+
+MAX_TOLD = 30
+"""Suspects in one message between entries; the newest."""
+
+Key = tuple[str, int]
+
+
+class Crashes:
+    """Lost answers, the endpoints that died of them or with them, and who is refused for it."""
+
+    __slots__ = ("_crashes_by_fingerprint", "_losses", "_suspicion")
+
+    def __init__(self) -> None:
+        self._suspicion = Suspicion()
+        self._losses: OrderedDict[tuple[bytes, Key], float] = OrderedDict()
+        self._crashes_by_fingerprint: OrderedDict[bytes, set[str]] = OrderedDict()
+
+    # Queries
+
+    def is_refused(self, fingerprint: bytes, now_ms: float) -> bool:
+        """Tell whether a request was running at two crashes."""
+        return self._suspicion.is_quarantined(fingerprint, now_ms)
+
+    def telling(self) -> list[list]:
+        """Return rows of [fingerprint, crash ids] for other entries."""
+        newest = list(self._crashes_by_fingerprint.items())[-MAX_TOLD:]
+        return [[fingerprint, sorted(crashes)] for fingerprint, crashes in newest]
+
+    # Commands
+
+    def lost(self, fingerprint: bytes, key: Key, now_ms: float) -> None:
+        """Note that the answer of a request was lost at an endpoint."""
+        self._losses[fingerprint, key] = now_ms
+        if len(self._losses) > MAX_LOSSES:
+            self._losses.popitem(last=False)
+
+    def died(self, key: Key, now_ms: float) -> None:
+        """Note that an endpoint is dead or has started anew: what was lost there is suspect."""
+        for (fingerprint, at), lost_ms in list(self._losses.items()):
+            if at != key:
+                continue
+            del self._losses[fingerprint, at]
+            if now_ms - lost_ms <= LOSS_LIFE_MS:
+                self._count(fingerprint, f"{key[0]}/{key[1]}", now_ms)
+
+    def told(self, rows: list, now_ms: float) -> None:
+        """Take another entry's suspects."""
+        for fingerprint, crashes in rows:
+            for crash_id in crashes:
+                if crash_id not in self._crashes_by_fingerprint.get(fingerprint, ()):
+                    self._count(fingerprint, crash_id, now_ms)
+
+    def ended_well(self, fingerprint: bytes, now_ms: float) -> None:
+        """Note that a request was answered whole."""
+        if self._crashes_by_fingerprint.pop(fingerprint, None) is not None:
+            self._suspicion.observe_cleared(fingerprint, now_ms=now_ms)
+
+    def _count(self, fingerprint: bytes, crash_id: str, now_ms: float) -> None:
+        self._suspicion.observe_crash(
+            crash_id, fingerprint, is_confirmed=True, was_alone=False, now_ms=now_ms
+        )
+        self._crashes_by_fingerprint.setdefault(fingerprint, set()).add(crash_id)
+        self._crashes_by_fingerprint.move_to_end(fingerprint)
+        while len(self._crashes_by_fingerprint) > MAX_LOSSES:
+            self._crashes_by_fingerprint.popitem(last=False)
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -32,6 +32,7 @@
     """A request on its way to an endpoint. *tried* are incarnations that did not take it.
 
     *cost* is what it took of its organisation's quota; *key_digest* stands for the caller's key.
+    *fingerprint* is equal for requests with the same organisation, path and body.
     """
 
     call: Call
@@ -42,6 +43,7 @@
     organisation: str | None = None
     cost: float = 0.0
     key_digest: bytes | None = None
+    fingerprint: bytes = b""
     tried: set[Key] = field(default_factory=set)
     waits_at: Key | None = None
 
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -304,6 +304,7 @@
     *granted* holds the tokens granted since the start by organisation; *loads* rows of
     [endpoint address, its start, runs, tokens]. *table_version* is the configuration in force and
     *announced* the sum of the adapters' versions: who holds less asks at *status* for the rest.
+    *suspects* holds rows of [request's fingerprint, crashes of endpoints that it ran at].
     """
 
     vm: str
@@ -316,6 +317,7 @@
     announced: int
     granted: dict
     loads: list
+    suspects: list
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -13,6 +13,7 @@
 from skylarkrack.core.relay import (
     AdapterPublished,
     Contact,
+    Crashes,
     Dispatcher,
     Endpoint,
     EngineHeard,
@@ -70,6 +71,7 @@
         "_agent_by_endpoint",
         "_burn",
         "_callers",
+        "_crashes",
         "_datagrams",
         "_demanded_ms_by_key",
         "_desk",
@@ -102,6 +104,7 @@
         self._desk = Desk(self._dispatcher)
         self._desk.on_wait = self._tell_demand_soon
         self._usage = Usage()
+        self._crashes = Crashes()
         self._endpoints = Endpoints()
         self._parts = ExchangeParts(
             desk=self._desk,
@@ -109,10 +112,12 @@
             endpoints=self._endpoints,
             metrics=self._metrics,
             usage=self._usage,
+            crashes=self._crashes,
+            tasks=self._tasks,
             retries_by_service={},
             most_retries=settings.retry_slack * RETRY_PART,
         )
-        self._front = Front(desk=self._desk, parts=self._parts, tasks=self._tasks)
+        self._front = Front(self._parts)
         own = Contact(vm=settings.vm, address=settings.peers, role="entry", domain=settings.domain)
         self._membership = Membership(own)
         self._membership.set_seeds(settings.seeds)
@@ -252,6 +257,8 @@
     def endpoint_put(self, endpoint: Endpoint) -> None:
         """Note an endpoint's registration."""
         before = self._dispatcher.directory.put(endpoint)
+        if before is not None and before.started_ms < endpoint.started_ms:
+            self._crashes.died(before.key, monotonic_ms())
         if before is None or (before.started_ms, before.is_leaving) != (
             endpoint.started_ms,
             endpoint.is_leaving,
@@ -269,7 +276,11 @@
 
     def endpoint_removed(self, endpoint_id: str) -> None:
         """Note the end of a registration."""
-        is_gone = self._dispatcher.directory.remove(endpoint_id, monotonic_ms())
+        now_ms = monotonic_ms()
+        known = self._dispatcher.directory.find(endpoint_id)
+        is_gone = self._dispatcher.directory.remove(endpoint_id, now_ms)
+        if is_gone and not known.is_leaving:
+            self._crashes.died(known.key, now_ms)
         log(Event.ENDPOINT_GONE, endpoint=endpoint_id, at_once=is_gone)
         if is_gone:
             self._forget_gone()
@@ -327,6 +338,7 @@
         self._note_member(contact, now_ms)
         self._handover.compare(message.status, message.table_version, message.announced)
         self._usage.heard(message.vm, message.incarnation, message.granted, now_ms)
+        self._crashes.told(message.suspects, now_ms)
         runs = {(row[0], row[1]): row[2] for row in message.loads}
         tokens = {(row[0], row[1]): row[3] for row in message.loads}
         self._dispatcher.load.told(message.vm, runs, tokens, now_ms)
@@ -388,6 +400,7 @@
             table_version=0 if table is None else table.version,
             announced=self._dispatcher.announced,
             granted=self._usage.granted(),
+            suspects=self._crashes.telling(),
             loads=[[key[0], key[1], runs, tokens] for key, (runs, tokens) in own.items()],
         )
         self._datagrams.send_to(state, entries)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -7,8 +7,9 @@
 from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
+from skylarkrack._tasks import Tasks
 from skylarkrack.core import RetryBudget
-from skylarkrack.core.relay import Endpoint, SendTo, Ticket, Usage
+from skylarkrack.core.relay import Crashes, Endpoint, SendTo, Ticket, Usage
 from skylarkrack.relay._desk import Desk
 from skylarkrack.relay._dialect import Dialect, Passage, Verdict
 from skylarkrack.relay._endpoints import Endpoints
@@ -48,6 +49,8 @@
     endpoints: Endpoints
     metrics: Metrics
     usage: Usage
+    crashes: Crashes
+    tasks: Tasks
     retries_by_service: dict[str, RetryBudget]
     most_retries: float
 
@@ -195,9 +198,10 @@
         except LinkLost as error:
             now_ms = monotonic_ms()
             if error.sent:
-                health.failed(endpoint.key, now_ms)
+                self._lost_at(endpoint)
             else:
                 health.unreachable(endpoint.key, now_ms)
+                self._parts.crashes.died(endpoint.key, now_ms)
             raise _TryAgain(str(error), was_sent=error.sent, has_run=error.sent) from error
         if not route.is_stream:
             health.answered(endpoint.key, monotonic_ms() - now_ms, monotonic_ms())
@@ -259,7 +263,7 @@
         try:
             body = await response.whole(timeout_ms=self._left_ms(monotonic_ms()))
         except LinkLost as error:
-            self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
+            self._lost_at(endpoint)
             raise _TryAgain(str(error), was_sent=True, has_run=True) from error
         if response.status < 300 and not verdict.is_proven:
             self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
@@ -270,6 +274,23 @@
         self._responder.whole(response.status, headers, body)
         self._ended(placed, response.status)
 
+    def _lost_at(self, endpoint: Endpoint) -> None:
+        """Note an answer that was lost; the endpoint may have died of the request."""
+        now_ms = monotonic_ms()
+        self._parts.desk.dispatcher.health.failed(endpoint.key, now_ms)
+        self._parts.crashes.lost(self.ticket.fingerprint, endpoint.key, now_ms)
+        self._parts.tasks.spawn(self._check_alive(endpoint))
+
+    async def _check_alive(self, endpoint: Endpoint) -> None:
+        """Find out whether an endpoint that lost an answer is dead, before others go there."""
+        try:
+            await self._parts.endpoints.client_of(endpoint).open_spare(CONNECT_TIMEOUT_MS)
+        except LinkLost as error:
+            now_ms = monotonic_ms()
+            log(Event.ENDPOINT_DEAD, endpoint=endpoint.endpoint_id, error=str(error))
+            self._parts.desk.dispatcher.health.unreachable(endpoint.key, now_ms)
+            self._parts.crashes.died(endpoint.key, now_ms)
+
     def _may_run_again(self, route: object) -> bool:
         left_ms = self._left_ms(monotonic_ms())
         is_in_time = left_ms > route.objective_ms / 2
@@ -295,7 +316,7 @@
                     health.answered(endpoint.key, monotonic_ms() - sent_ms, monotonic_ms())
                 self._pass_events(response, whole)
         except (LinkLost, ValueError) as error:
-            health.failed(endpoint.key, monotonic_ms())
+            self._lost_at(endpoint)
             self._events.drop_partial()
             raise _TryAgain(str(error), was_sent=True, has_run=True) from error
         if self._events.has_partial or is_first:
@@ -333,8 +354,10 @@
         self._parts.metrics.observe_ms("placed_after_ms", waited_ms, self.ticket.service_name)
 
     def _ended(self, placed: SendTo, status: int) -> None:
-        took_ms = monotonic_ms() - self.ticket.call.arrived_ms
+        now_ms = monotonic_ms()
+        took_ms = now_ms - self.ticket.call.arrived_ms
         self.state = "ended"
+        self._parts.crashes.ended_well(self.ticket.fingerprint, now_ms)
         table, age_ms = self._parts.desk.dispatcher.table, placed.state_age_ms
         log(
             Event.RELAY_ENDED,
--- a/src/skylarkrack/relay/_front.py
+++ b/src/skylarkrack/relay/_front.py
@@ -1,6 +1,7 @@
 """Takes callers' requests, decides who may run what, and carries each through to its answer."""
 
 import asyncio
+import hashlib
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, Outcome, RequestRefused
@@ -28,7 +29,8 @@
 MIN_QUOTA_RETRY_MS = 300
 """Shortest time to come back after a quota was used up; others are returning too."""
 
-ANONYMOUS_PRIORITY = 0
+FINGERPRINT_BYTES = 12
+"""Few enough to tell thirty in a datagram, and too many for two requests to share by chance."""
 
 
 class Front:
@@ -36,14 +38,14 @@
 
     __slots__ = ("_desk", "_dialect", "_metrics", "_parts", "_running", "_tasks", "_usage")
 
-    def __init__(self, *, desk: Desk, parts: ExchangeParts, tasks: Tasks) -> None:
-        self._desk = desk
+    def __init__(self, parts: ExchangeParts) -> None:
+        self._desk: Desk = parts.desk
         self._usage: Usage = parts.usage
         self._running: dict[Exchange, asyncio.Task] = {}
         self._parts = parts
         self._dialect: Dialect = parts.dialect
         self._metrics: Metrics = parts.metrics
-        self._tasks = tasks
+        self._tasks: Tasks = parts.tasks
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request."""
@@ -51,7 +53,7 @@
         arrival = None
         try:
             arrival = self._dialect.arrival_of(request, now_ms)
-            ticket = self._admit(arrival, now_ms)
+            ticket = self._admit(request, arrival, now_ms)
         except RequestRefused as refusal:
             self._refuse(responder, refusal, arrival)
             return
@@ -89,7 +91,7 @@
         """Answer a request that could not be read."""
         self._refuse(responder, refusal, None)
 
-    def _admit(self, arrival: Arrival, now_ms: float) -> Ticket:
+    def _admit(self, request: Request, arrival: Arrival, now_ms: float) -> Ticket:
         table = self._desk.dispatcher.table
         if table is None:
             raise RequestRefused(
@@ -101,6 +103,9 @@
         if route is None:
             raise RequestRefused("no such route", code=Code.NO_SUCH_PATH)
         member = self._member_of(table, route, arrival)
+        fingerprint = _fingerprint_of(request, member)
+        if self._parts.crashes.is_refused(fingerprint, now_ms):
+            raise RequestRefused("endpoints died while this ran", code=Code.CRASH_SUSPECT)
         cost = 0.0 if member is None else self._take_quota(member, arrival, now_ms)
         priority = route.priority
         if member is not None and member.priority is not None:
@@ -113,6 +118,7 @@
             ends_ms=arrival.call.ends_ms(route.timeout_ms),
             organisation=None if member is None else member.name,
             cost=cost,
+            fingerprint=fingerprint,
             key_digest=None if member is None else digest_of_key(arrival.key),
         )
 
@@ -162,3 +168,11 @@
     if arrival.call.need is None or not arrival.call.has_token_count:
         return quota.plain_cost
     return float(arrival.call.need.tokens)
+
+
+def _fingerprint_of(request: Request, member: Member | None) -> bytes:
+    """Return a digest that a repeated request shares: its organisation, path and body."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in ((member.name if member else "").encode(), request.target.encode(), request.body):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -112,6 +112,15 @@
             raise
         return ClientResponse(self, connection, head)
 
+    async def open_spare(self, timeout_ms: float) -> None:
+        """Open a connection and keep it for a later request; raises `LinkLost`."""
+        connection = await self._connect(timeout_ms)
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        if len(self._idle) < self._max_idle:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
     def put_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose answer was read to its end."""
         now_s = asyncio.get_running_loop().time()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -41,6 +41,12 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def crash(self) -> None:
+        """Break off every connection, and refuse new ones from now on."""
+        self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     async def close(self) -> None:
         """Stop listening, and end the replies under way."""
         self._server.close()
--- /dev/null
+++ b/tests/test_relay_crashes.py
@@ -0,0 +1,80 @@
+"""A request that crashes endpoints is refused after the second; those beside it are not."""
+
+import unittest
+
+from skylarkrack.core.relay import Crashes
+from standins.platform_worker import PlatformWorker, Received, answer
+from tests.platform_builders import Rig, request
+from tests.test_relay_path import PathTest, status_of
+
+ONE, TWO, THREE = ("a:1", 1000), ("b:1", 1000), ("c:1", 1000)
+BAD, GOOD = b"bad", b"good"
+
+
+class TestCrashes(unittest.TestCase):
+    """Who is suspected of what."""
+
+    def setUp(self) -> None:
+        self.crashes = Crashes()
+
+    def test_two_deaths(self) -> None:
+        for number, key in enumerate((ONE, TWO)):
+            self.assertFalse(self.crashes.is_refused(BAD, 0.0))
+            self.crashes.lost(BAD, key, float(number))
+            self.crashes.died(key, float(number))
+        self.assertTrue(self.crashes.is_refused(BAD, 2.0))
+
+    def test_a_lost_answer_alone_is_no_crash(self) -> None:
+        for key in (ONE, TWO, THREE):
+            self.crashes.lost(BAD, key, 0.0)
+        self.assertFalse(self.crashes.is_refused(BAD, 0.0))
+
+    def test_a_death_long_after_does_not_count(self) -> None:
+        for key in (ONE, TWO):
+            self.crashes.lost(BAD, key, 0.0)
+            self.crashes.died(key, 60_000.0)
+        self.assertFalse(self.crashes.is_refused(BAD, 60_000.0))
+
+    def test_one_that_ends_well_is_cleared(self) -> None:
+        self.crashes.lost(GOOD, ONE, 0.0)
+        self.crashes.died(ONE, 0.0)
+        self.crashes.ended_well(GOOD, 1.0)
+        self.crashes.lost(GOOD, TWO, 2.0)
+        self.crashes.died(TWO, 2.0)
+        self.assertFalse(self.crashes.is_refused(GOOD, 2.0))
+
+    def test_two_entries_add_up_and_one_crash_counts_once(self) -> None:
+        other = Crashes()
+        for crashes, key in ((self.crashes, ONE), (other, TWO)):
+            crashes.lost(BAD, key, 0.0)
+            crashes.died(key, 0.0)
+        self.crashes.told(self.crashes.telling(), 1.0)
+        self.assertFalse(self.crashes.is_refused(BAD, 1.0))
+        self.crashes.told(other.telling(), 1.0)
+        self.assertTrue(self.crashes.is_refused(BAD, 1.0))
+
+
+class TestCrashingRequest(PathTest):
+    """The same through an entry: the endpoint breaks off and then refuses connections."""
+
+    async def test_the_third_endpoint_survives(self) -> None:
+        workers: list[PlatformWorker] = []
+
+        async def crash(seen: Received, writer: object) -> bool:
+            if seen.body != b"crash":
+                return await answer()(seen, writer)
+            worker = next(w for w in workers if seen in w.received)
+            worker.crash()
+            return False
+
+        workers += [PlatformWorker([crash]) for _ in range(4)]
+        statuses = []
+        async with Rig(*workers) as rig:
+            for number in range(8):
+                for body in (b"crash", b"fine"):
+                    data = request("/pay/1", method="POST", body=body, request_id=f"{body}{number}")
+                    statuses.append((body, status_of(await rig.ask(data))))
+        crashed = sum(any(r.body == b"crash" for r in worker.received) for worker in workers)
+        self.assertLessEqual(crashed, 3)
+        self.assertEqual({status for body, status in statuses if body == b"fine"}, {200})
+        self.assertEqual(statuses[-2], (b"crash", 503))
