Add a randomized soak of the real programs, with faults from outside them

What it does: three entries and two agents as processes, engines, desks and the store in the soak's own process, proxies that delay, reset, cut one way or silence, signals in series and overlapping. It checks at most once, true refusals, whole answers, keys, quota, places and recovery. Besides: an entry that has nothing yet reads the store every 150 ms and does not back off.

--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,174 @@
+"""The system under soak: processes, endpoints, a store, and proxies between them."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from soak.endpoints import MODEL, PLACES, Desk, Endpoint, Engine
+from soak.promises import Ledger
+from soak.proxy import Proxy
+from standins.platform_store import PlatformStore
+
+ROOT = Path(__file__).resolve().parent.parent
+ENTRIES, ENGINES, DESKS = 3, 2, 2
+FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8221, 8224, 8229, 7600
+STORE = "127.9.9.1:8225"
+STORE_PROXY = "127.9.9.2:8225"
+RATE, BURST = 12_000, 12_000
+RESTART_S = 0.3
+KEYS = ("key-one", "key-two")
+
+
+@dataclass(slots=True)
+class Machine:
+    """One process of the system; it is started again when it ends."""
+
+    name: str
+    role: str
+    ip: str
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+    is_kept: bool = True
+    frozen_until_s: float = 0.0
+    started_s: float = 0.0
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Where callers reach an entry."""
+        return self.ip, FRONT_PORT
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Fleet:
+    """Starts everything, and keeps processes running as the platform would."""
+
+    def __init__(self, folder: Path) -> None:
+        self.ledger = Ledger(rate_per_s=RATE, burst=BURST)
+        self.store = PlatformStore()
+        self.store_proxy = Proxy(STORE_PROXY, STORE)
+        self.machines: list[Machine] = []
+        self.endpoints: list[Endpoint] = []
+        self.proxies: list[Proxy] = []
+        self.keys = set(KEYS)
+        self.config_version = 0
+        self._folder = folder
+        self._keepers: list[asyncio.Task] = []
+
+    @property
+    def entries(self) -> list[Machine]:
+        """Return the machines that callers reach."""
+        return [machine for machine in self.machines if machine.role == "entry"]
+
+    async def start(self) -> None:
+        """Start the store, endpoints, proxies and processes."""
+        await self.store.start(STORE)
+        await self.store_proxy.start()
+        self.publish()
+        for number in range(1, ENGINES + 1):
+            engine = Engine(f"i-e{number}", f"127.9.1.{number}:8228", self.ledger)
+            await self._add_endpoint(engine, "llm", engine.address)
+            self._add_machine(f"side-{number}", "agent", f"127.9.1.{number}", app=engine.address)
+        for number in range(1, DESKS + 1):
+            desk = Desk(f"i-d{number}", f"127.9.2.{number}:8100", self.ledger)
+            proxy = Proxy(f"127.9.3.{number}:8100", desk.address)
+            await proxy.start()
+            self.proxies.append(proxy)
+            await self._add_endpoint(desk, "desk", proxy.address)
+        for number in range(1, ENTRIES + 1):
+            self._add_machine(f"front-{number}", "entry", f"127.9.0.{number}")
+        self._keepers = [asyncio.create_task(self._keep(machine)) for machine in self.machines]
+
+    async def close(self) -> None:
+        """End every process that was started here, by its id, and the stand-ins."""
+        for machine in self.machines:
+            machine.is_kept = False
+            machine.signal(signal.SIGCONT)
+            machine.signal(signal.SIGKILL)
+        await asyncio.wait(self._keepers)
+        for part in (*self.endpoints, *self.proxies, self.store_proxy, self.store):
+            await part.close()
+
+    def publish(self) -> None:
+        """Publish a newer configuration with the keys in force."""
+        self.config_version += 2
+        base = {"host": "a.example", "max-attempts": 2, "priority": 1, "public": False}
+        chat = {**base, "kind": "streaming", "service": "llm", "timeout-ms": 4000}
+        call = {**base, "service": "desk", "timeout-ms": 1500}
+        model = {"name": MODEL, "weights-mb": 1.0, "load-time-s": 1.0}
+        engine = {"slots": 8, "kv-capacity": 9000, "adapter-slots": PLACES, "models": [model]}
+        tenant = {"name": "singers", "unit": "tokens", "plain-tokens": 200}
+        document = {
+            "version": self.config_version,
+            "routes": [
+                {**chat, "name": "chat", "prefix": "/chat/", "max-attempts": 1},
+                {**chat, "name": "draft", "prefix": "/draft/", "resumable": True},
+                {**call, "name": "look", "prefix": "/look/", "kind": "safe"},
+                {**call, "name": "pay", "prefix": "/pay/", "kind": "unsafe", "max-attempts": 1},
+            ],
+            "services": [{"name": "llm", "engine": engine}, {"name": "desk"}],
+            "tenants": [
+                {**tenant, "api-keys": sorted(self.keys), "rate-per-s": RATE, "burst": BURST}
+            ],
+        }
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def register(self, endpoint: Endpoint, service: str, address: str) -> None:
+        """Write an endpoint's registration."""
+        key = f"servers/{endpoint.name}"
+        self.store.put(key, endpoint.registration(service, address))
+
+    async def _add_endpoint(self, endpoint: Endpoint, service: str, address: str) -> None:
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        self.register(endpoint, service, address)
+
+    def _add_machine(self, name: str, role: str, ip: str, *, app: str = "") -> None:
+        seeds = ",".join(f"127.9.0.{number}:{CONTROL_PORT}" for number in range(1, ENTRIES + 1))
+        lines = [
+            f"node-name={name}",
+            f"ip={ip}",
+            "zone=z",
+            f"port-range={PEER_PORT},7615",
+            f"seeds={seeds}",
+            f"platform.addr={STORE_PROXY}",
+            "bounds.grace-s=8",
+            "bounds.budget-slack=58",
+        ]
+        if role == "entry":
+            ports = {"front": FRONT_PORT, "ready": READY_PORT, "control": CONTROL_PORT}
+            lines += [f"listen.{purpose}={ip}:{port}" for purpose, port in ports.items()]
+        else:
+            lines += [f"app={app}", "service=llm"]
+        path = self._folder / f"{name}.conf"
+        path.write_text("\n".join(lines) + "\n")
+        self.machines.append(Machine(name, role, ip, path))
+
+    async def _keep(self, machine: Machine) -> None:
+        """Run a machine's process, again and again, until the fleet closes."""
+        loop = asyncio.get_running_loop()
+        environment = {**os.environ, "SKYLARKRACK_BOOT": str(machine.settings)}
+        log_path = self._folder / f"{machine.name}.log"
+        while machine.is_kept:
+            output = os.open(log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+            try:
+                machine.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    str(ROOT / "src" / "skylarkrackd.py"),
+                    machine.role,
+                    env=environment,
+                    stdout=output,
+                    stderr=output,
+                )
+            finally:
+                os.close(output)
+            machine.started_s = loop.time()
+            await machine.process.wait()
+            await asyncio.sleep(RESTART_S)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,258 @@
+"""Runs the soak: `python -m soak.run SEED [SEED ...]`, each for some seconds of faults."""
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import h11
+
+from skylarkrack._errors import LinkLost
+from skylarkrack.web import HttpClient
+from soak.endpoints import MODEL, Engine, stream_of
+from soak.fleet import Fleet, Machine
+from soak.promises import REVOKE_S
+from soak.proxy import Fault
+
+FAULT_S = 8.0
+CALLERS = 12
+START_LIMIT_S = 20.0
+START_PAUSE_S = 0.1
+RECOVERY_S = 12.0
+"""Time after the last fault within which nearly everything has to be served again."""
+
+RECOVERED_PART = 0.95
+PROBES = 60
+ANSWER_TIMEOUT_MS = 6000.0
+
+
+class Soak:
+    """One seed: callers and faults at once, then the recovery."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.fleet = Fleet(folder)
+        self._random = random.Random(seed)
+        self._number = 0
+        self._is_over = False
+        self._faults: list[str] = []
+        self._store_away_until_s = float("-inf")
+
+    async def run(self) -> list[str]:
+        """Return the promises that were broken."""
+        await self.fleet.start()
+        try:
+            await self._until_ready()
+            callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
+            await self._injure()
+            self._is_over = True
+            await asyncio.wait(callers)
+            await self._check_recovery()
+        finally:
+            await self.fleet.close()
+        self.fleet.ledger.check_quota()
+        return self.fleet.ledger.broken
+
+    def describe(self) -> str:
+        """Return the faults played and the statuses seen."""
+        statuses = dict(sorted(self.fleet.ledger.statuses.items()))
+        return f"{len(self._faults)} faults ({', '.join(self._faults)}); {statuses}"
+
+    # Callers
+
+    async def _until_ready(self) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            for machine in self.fleet.entries:
+                await self._until_served(machine)
+
+    async def _until_served(self, machine: Machine) -> None:
+        for _ in range(int(START_LIMIT_S / START_PAUSE_S)):
+            if await self._ask(machine, "look", "key-one") == 200:
+                return
+            await asyncio.sleep(START_PAUSE_S)
+
+    async def _call_forever(self, number: int) -> None:
+        """Use one connection until it is gone, then another, as a caller does."""
+        client: HttpClient | None = None
+        while not self._is_over:
+            if client is None or self._random.random() < 0.1:
+                machine = self._random.choice(self.fleet.entries)
+                client = HttpClient(f"{machine.ip}:{machine.caller_address[1]}")
+            kind = self._random.choice(("chat", "chat", "draft", "look", "pay"))
+            key = self._random.choice(("key-one", "key-two"))
+            if await self._ask(machine, kind, key, client=client) == 0:
+                client = None
+            await asyncio.sleep(self._random.uniform(0.01, 0.1))
+
+    async def _ask(
+        self, machine: Machine, kind: str, key: str, *, client: HttpClient | None = None
+    ) -> int:
+        """Send one request and check its answer; return its status, 0 without a whole one."""
+        self._number += 1
+        request_id = f"r{self._number}"
+        headers = [
+            (b"host", b"a.example"),
+            (b"x-attempt-id", request_id.encode()),
+            (b"x-deadline-ms", b"4000"),
+            (b"authorization", b"Token " + key.encode()),
+        ]
+        if kind in ("chat", "draft"):
+            adapter = f"a{min(9, int(self._random.paretovariate(1.0)))}"
+            headers.append((b"x-model", f"{MODEL}/{adapter}".encode()))
+            headers.append((b"x-token-count", b"20,30"))
+        is_repeatable = kind in ("draft", "look")
+        sent_s = asyncio.get_running_loop().time()
+        asker = client or HttpClient(f"{machine.ip}:{machine.caller_address[1]}")
+        try:
+            answer = await asker.request(
+                "POST", f"/{kind}/x", headers=headers, timeout_ms=ANSWER_TIMEOUT_MS
+            )
+            body = await answer.whole(timeout_ms=ANSWER_TIMEOUT_MS)
+        except (LinkLost, h11.LocalProtocolError):
+            return 0
+        finally:
+            if client is None:
+                asker.close()
+        ledger = self.fleet.ledger
+        ledger.answered(request_id, answer.status, is_repeatable=is_repeatable)
+        if answer.status == 200:
+            is_stream = kind in ("chat", "draft")
+            expected = (
+                b"".join(stream_of(request_id)) if is_stream else f"done {request_id}".encode()
+            )
+            ledger.checked(request_id, body, expected)
+            self._check_key(machine, key, request_id, sent_s)
+        return answer.status
+
+    def _check_key(self, machine: Machine, key: str, request_id: str, sent_s: float) -> None:
+        """A request with a withdrawn key may succeed only where the entry could not know."""
+        withdrawn_s = self.fleet.ledger.withdrawn_at_by_key.get(key)
+        if withdrawn_s is None or sent_s < withdrawn_s + REVOKE_S:
+            return
+        if machine.frozen_until_s + REVOKE_S < sent_s and not self._store_was_away(sent_s):
+            self.fleet.ledger.broken.append(f"{request_id} ran with a withdrawn key")
+
+    def _store_was_away(self, now_s: float) -> bool:
+        return self._store_away_until_s + REVOKE_S > now_s
+
+    # Faults
+
+    async def _injure(self) -> None:
+        """Play faults in series and overlapping, for a while."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FAULT_S
+        plays = (
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._reload,
+            self._trouble_desk,
+            self._trouble_store,
+            self._restart_engine,
+            self._change_keys,
+            self._kill_all,
+        )
+        weights = (3, 3, 2, 1, 4, 2, 2, 2, 1)
+        running: list[asyncio.Task] = []
+        while loop.time() < end_s:
+            (play,) = self._random.choices(plays, weights)
+            self._faults.append(play.__name__.strip("_"))
+            running.append(asyncio.create_task(play()))
+            await asyncio.sleep(self._random.uniform(0.1, 1.5))
+        await asyncio.wait(running)
+
+    def _any_machine(self) -> Machine:
+        return self._random.choice(self.fleet.machines)
+
+    async def _kill(self) -> None:
+        self._any_machine().signal(signal.SIGKILL)
+
+    async def _kill_all(self) -> None:
+        for machine in self.fleet.machines:
+            machine.signal(signal.SIGKILL)
+
+    async def _freeze(self) -> None:
+        machine, length_s = self._any_machine(), self._random.uniform(0.3, 3.0)
+        machine.frozen_until_s = asyncio.get_running_loop().time() + length_s
+        machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        machine.signal(signal.SIGCONT)
+
+    async def _stop(self) -> None:
+        self._any_machine().signal(signal.SIGTERM)
+
+    async def _reload(self) -> None:
+        self._any_machine().signal(signal.SIGHUP)
+
+    async def _trouble_desk(self) -> None:
+        proxy = self._random.choice(self.fleet.proxies)
+        if self._random.random() < 0.3:
+            proxy.reset_all()
+            return
+        proxy.fault = self._random.choice((Fault.DELAY, Fault.CUT_ANSWERS, Fault.SILENT))
+        await asyncio.sleep(self._random.uniform(0.3, 2.0))
+        proxy.fault = Fault.NONE
+        proxy.reset_all()
+
+    async def _trouble_store(self) -> None:
+        proxy, length_s = self.fleet.store_proxy, self._random.uniform(0.3, 3.0)
+        self._store_away_until_s = asyncio.get_running_loop().time() + length_s
+        proxy.fault = self._random.choice((Fault.DELAY, Fault.CUT_ANSWERS, Fault.SILENT))
+        await asyncio.sleep(length_s)
+        proxy.fault = Fault.NONE
+        proxy.reset_all()
+
+    async def _restart_engine(self) -> None:
+        engines = [item for item in self.fleet.endpoints if isinstance(item, Engine)]
+        engine = self._random.choice(engines)
+        await engine.close()
+        engine.restart()
+        await engine.reopen()
+        self.fleet.register(engine, "llm", engine.address)
+
+    async def _change_keys(self) -> None:
+        if "key-two" in self.fleet.keys:
+            self.fleet.keys.discard("key-two")
+            now_s = asyncio.get_running_loop().time()
+            self.fleet.ledger.withdrawn_at_by_key["key-two"] = now_s
+        else:
+            self.fleet.keys.add("key-two")
+            self.fleet.ledger.withdrawn_at_by_key.pop("key-two")
+        self.fleet.publish()
+
+    async def _check_recovery(self) -> None:
+        """After the last fault nearly everything is served again."""
+        await asyncio.sleep(RECOVERY_S)
+        served = 0
+        for number in range(PROBES):
+            machine = self.fleet.entries[number % len(self.fleet.entries)]
+            kind = ("chat", "draft", "look", "pay")[number % 4]
+            served += await self._ask(machine, kind, "key-one") == 200
+        if served < RECOVERED_PART * PROBES:
+            self.fleet.ledger.broken.append(f"{served} of {PROBES} served after the recovery")
+
+
+async def play(seed: int, folder: Path) -> tuple[list[str], str]:
+    """Play one seed; return the promises broken and what was played."""
+    soak = Soak(seed, folder)
+    broken = await soak.run()
+    return broken, soak.describe()
+
+
+def main() -> int:
+    """Play the seeds of the command line; logs of a seed that failed are kept."""
+    failed = 0
+    for text in sys.argv[1:]:
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{text}-"))
+        broken, played = asyncio.run(play(int(text), folder))
+        failed += bool(broken)
+        print(f"seed {text}: {'BROKEN ' + '; '.join(broken) if broken else 'kept'}; {played}")
+        if broken:
+            print(f"seed {text}: logs in {folder}")
+    print(f"{len(sys.argv) - 1 - failed} seeds kept every promise, {failed} broke one")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -30,6 +30,7 @@
 within two seconds."""
 
 MAX_RETRY_MS = 600
+"""Longest pause; who has nothing yet pauses for `RETRY_MS` only, since it can't serve before."""
 
 
 class Follower:
@@ -68,7 +69,7 @@
             except PlatformUnreachable as error:
                 self._lost(str(error))
                 await asyncio.sleep(retry_ms / 1000)
-                retry_ms = min(MAX_RETRY_MS, 2 * retry_ms)
+                retry_ms = RETRY_MS if revision is None else min(MAX_RETRY_MS, 2 * retry_ms)
 
     async def _step(self, revision: int | None) -> int:
         """Read once; return the revision up to which everything is known."""
