--- a/src/skylarkrack/ctl.py
+++ b/src/skylarkrack/ctl.py
@@ -17,6 +17,7 @@
     kind_of,
     parse_value,
 )
+from skylarkrack._log_reader import explain
 from skylarkrack._settings import read_settings
 from skylarkrack.web import HttpClient
 
@@ -77,6 +78,11 @@
         document = _get(address, f"/explain/{request_id}")
         return "\n".join(_step_line(step) for step in document["steps"])
 
+    def explain_log(self, request_id: str, *files: str) -> str:
+        """Show from log FILES what happened to a relayed request, and what was believed then."""
+        lines = [line for file in files for line in Path(file).read_text().splitlines()]
+        return "\n".join(explain(str(request_id), lines))
+
     def burn(self, address: str) -> str:
         """Show how fast the error budget of each service-level objective is spent."""
         rows = _get(address, "/burn")["rows"]
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         "_events",
+        "_last",
         "_parts",
         "_request",
         "_responder",
@@ -86,6 +87,7 @@
         self._responder = responder
         self.ticket = ticket
         self._events = EventStream() if ticket.route.is_stream else None
+        self._last: SendTo | None = None
         self._sends = 0
         self._runs = 0
         self.state = "placing"
@@ -117,6 +119,7 @@
                 placed = await self._parts.desk.place(self.ticket)
             except RequestRefused as refusal:
                 raise self._worst(refusal) from None
+            self._last = placed
             self._note_wait(placed, monotonic_ms() - began_ms)
             try:
                 await self._offer(placed)
@@ -272,7 +275,7 @@
             raise _TryAgain(f"failed with status {response.status}", was_sent=True, has_run=True)
         headers = self._parts.dialect.headers_for_caller(response.headers)
         self._responder.whole(response.status, headers, body)
-        self._ended(placed, response.status)
+        self._ended(response.status)
 
     def _lost_at(self, endpoint: Endpoint) -> None:
         """Note an answer that was lost; the endpoint may have died of the request."""
@@ -324,7 +327,7 @@
             self._events.drop_partial()
             raise _TryAgain("ended within an event", was_sent=True, has_run=True)
         self._responder.end()
-        self._ended(placed, response.status)
+        self._ended(response.status)
 
     def _pass_events(self, response: ClientResponse, events: bytes) -> None:
         if not self._responder.has_started:
@@ -353,43 +356,24 @@
         )
         self._parts.metrics.observe_ms("placed_after_ms", waited_ms, self.ticket.service_name)
 
-    def _ended(self, placed: SendTo, status: int) -> None:
+    def _ended(self, status: int) -> None:
         now_ms = monotonic_ms()
         took_ms = now_ms - self.ticket.call.arrived_ms
         self.state = "ended"
         self._parts.crashes.ended_well(self.ticket.fingerprint, now_ms)
-        table, age_ms = self._parts.desk.dispatcher.table, placed.state_age_ms
-        log(
-            Event.RELAY_ENDED,
-            request=self.ticket.call.request_id,
-            organisation=self.ticket.organisation,
-            route=self.ticket.route.name,
-            table=table.version,
-            endpoint=placed.endpoint.endpoint_id,
-            version=placed.version,
-            cost_ms=round(placed.cost_ms),
-            runs=placed.runs,
-            state_age_ms=None if age_ms is None else round(age_ms),
-            status=status,
-            sends=self._sends + 1,
-            took_ms=round(took_ms),
-        )
+        self._log(Event.RELAY_ENDED, took_ms, status=status, sends=self._sends + 1)
         self._parts.metrics.count("answered_total", str(status))
         self._parts.metrics.observe_ms("took_ms", took_ms, self.ticket.route.name)
 
     def _fail(self, refusal: RequestRefused) -> None:
-        took_ms = monotonic_ms() - self.ticket.call.arrived_ms
-        log(
+        self._log(
             Event.RELAY_BROKEN if self._responder.has_started else Event.RELAY_REFUSED,
-            request=self.ticket.call.request_id,
-            organisation=self.ticket.organisation,
-            route=self.ticket.route.name,
+            monotonic_ms() - self.ticket.call.arrived_ms,
             code=int(refusal.code),
             outcome=str(refusal.outcome),
             reason=str(refusal),
             sends=self._sends,
-            runs=self._runs,
-            took_ms=round(took_ms),
+            runs_begun=self._runs,
         )
         self._parts.metrics.count("refused_total", refusal.code.name.lower())
         if refusal.outcome is Outcome.NOT_RUN and self.ticket.cost:
@@ -398,3 +382,25 @@
         request_id = self.ticket.call.request_id
         headers = self._parts.dialect.headers_of_own_answer(request_id)
         write_refusal(self._responder, refusal, headers)
+
+    def _log(self, event: Event, took_ms: float, **fields: object) -> None:
+        """Write the request's last line: what decided its way, how old that was, the outcome."""
+        placed, table = self._last, self._parts.desk.dispatcher.table
+        if placed is not None:
+            age_ms = placed.state_age_ms
+            fields |= {
+                "endpoint": placed.endpoint.endpoint_id,
+                "version": placed.version,
+                "cost_ms": round(placed.cost_ms),
+                "runs_there": placed.runs,
+                "state_age_ms": None if age_ms is None else round(age_ms),
+            }
+        log(
+            event,
+            request=self.ticket.call.request_id,
+            organisation=self.ticket.organisation,
+            route=self.ticket.route.name,
+            table=table.version,
+            took_ms=round(took_ms),
+            **fields,
+        )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -110,3 +110,35 @@
         code, _, errors = run_ctl("state", "127.0.0.1:9")
         self.assertEqual(code, 1)
         self.assertIn("no connection", errors)
+
+
+class TestExplainLog(unittest.TestCase):
+    """From a request's id to its cause, by log files alone."""
+
+    LINES = (
+        '2026-01-01T00:00:00.000Z n1 712 ENDPOINT_SEEN {"endpoint": "i-1", "leaving": false}',
+        '2026-01-01T00:00:00.100Z n1 712 ENDPOINT_SEEN {"endpoint": "i-2", "leaving": false}',
+        "no event at all",
+        '2026-01-01T00:00:00.200Z n1 702 RELAY_RETRIED {"request": "r1", "endpoint": "i-1"}',
+        '2026-01-01T00:00:00.250Z n2 700 RELAY_ENDED {"request": "r2", "endpoint": "i-1"}',
+        '2026-01-01T00:00:00.300Z n1 719 ENDPOINT_DEAD {"endpoint": "i-1"}',
+        '2026-01-01T00:00:00.400Z n1 701 RELAY_REFUSED {"request": "r1", "code": 3003}',
+        '2026-01-01T00:00:00.500Z n1 713 ENDPOINT_GONE {"endpoint": "i-1"}',
+    )
+
+    def test_the_request_and_what_was_believed(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "n1.log"
+            path.write_text("\n".join(self.LINES))
+            code, told, _ = run_ctl("explain_log", "r1", str(path))
+        self.assertEqual(code, 0)
+        for part in ("RELAY_RETRIED", "RELAY_REFUSED", "ENDPOINT_DEAD endpoint=i-1", "believed"):
+            self.assertIn(part, told)
+        for part in ("i-2", "r2", "ENDPOINT_GONE"):
+            self.assertNotIn(part, told)
+
+    def test_a_request_without_lines(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "n1.log"
+            path.write_text("\n".join(self.LINES))
+            self.assertIn("no line of request r9", run_ctl("explain_log", "r9", str(path))[1])
