End started processes when their starter is gone

They run in sessions of their own, so no terminal signal reached them, and nothing else bound them to their starter. Change: the kernel kills each when its parent ends. Besides: make run says how often the desk ran the order.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,11 +6,13 @@
 import signal
 import sys
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from soak.endpoints import MODEL, PLACES, Desk, Endpoint, Engine
 from soak.promises import Ledger
 from soak.proxy import Proxy
+from standins._lifeline import end_with_starter
 from standins.platform_store import PlatformStore
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -166,6 +168,7 @@
                     env=environment,
                     stdout=output,
                     stderr=output,
+                    preexec_fn=partial(end_with_starter, os.getpid()),
                 )
             finally:
                 os.close(output)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,10 +12,12 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from skylarkrack._errors import LinkLost
 from skylarkrack.web import HttpClient
+from standins._lifeline import end_with_starter
 
 HOST = "127.0.0.1"
 READY_LIMIT_S = 30.0
@@ -161,7 +163,12 @@
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
         # Ctrl-C at the terminal is for this process alone, which then stops the others in turn.
         process = subprocess.Popen(
-            command, stderr=self._log, stdout=self._log, env=environment, start_new_session=True
+            command,
+            stderr=self._log,
+            stdout=self._log,
+            env=environment,
+            start_new_session=True,
+            preexec_fn=partial(end_with_starter, os.getpid()),
         )
         addresses = self.by_name[name].addresses if name in self.by_name else {}
         self.by_name[name] = Started(name=name, process=process, addresses=addresses)
--- a/standins/run.py
+++ b/standins/run.py
@@ -60,7 +60,8 @@
         for entry in ("entry-0", "entry-1")
     ]
     runs = (await fleet.stats("desk-0"))["runs"]
-    print(f"order, sent twice: {[status for status, _, _ in answers]}, runs at the desk: {runs}")
+    statuses = " and ".join(str(status) for status, _, _ in answers)
+    print(f"an order sent twice: answered {statuses}; the desk ran it {runs['40 desks']} time(s)")
     return [status for status, _, _ in answers] == [200, 200] and runs["40 desks"] == 1
 
 
