Evict an adapter only once every live entry has heard that it is retired

Cause: an agent evicted what no entry had told it was in use, but what entries tell is up to a second old: a run that had just begun on a resident adapter was not known. Ruled out: telling each run at once alone (a run and an eviction still cross); a longer grace (no bound). Change: an adapter is first retired, that is told as not held; entries answer with the number of what they heard; the eviction follows when all live ones have. A new agent listens for half a second first.

--- a/soak/run.py
+++ b/soak/run.py
@@ -33,7 +33,9 @@
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.fleet = Fleet(folder)
+        # Two generators, or the callers' timing would change which faults a seed plays.
         self._random = random.Random(seed)
+        self._callers_random = random.Random(seed)
         self._number = 0
         self._is_over = False
         self._faults: list[str] = []
@@ -76,14 +78,14 @@
         """Use one connection until it is gone, then another, as a caller does."""
         client: HttpClient | None = None
         while not self._is_over:
-            if client is None or self._random.random() < 0.1:
-                machine = self._random.choice(self.fleet.entries)
+            if client is None or self._callers_random.random() < 0.1:
+                machine = self._callers_random.choice(self.fleet.entries)
                 client = HttpClient(f"{machine.ip}:{machine.caller_address[1]}")
-            kind = self._random.choice(("chat", "chat", "draft", "look", "pay"))
-            key = self._random.choice(("key-one", "key-two"))
+            kind = self._callers_random.choice(("chat", "chat", "draft", "look", "pay"))
+            key = self._callers_random.choice(("key-one", "key-two"))
             if await self._ask(machine, kind, key, client=client) == 0:
                 client = None
-            await asyncio.sleep(self._random.uniform(0.01, 0.1))
+            await asyncio.sleep(self._callers_random.uniform(0.01, 0.1))
 
     async def _ask(
         self, machine: Machine, kind: str, key: str, *, client: HttpClient | None = None
@@ -98,7 +100,7 @@
             (b"authorization", b"Token " + key.encode()),
         ]
         if kind in ("chat", "draft"):
-            adapter = f"a{min(9, int(self._random.paretovariate(1.0)))}"
+            adapter = f"a{min(9, int(self._callers_random.paretovariate(1.0)))}"
             headers.append((b"x-model", f"{MODEL}/{adapter}".encode()))
             headers.append((b"x-token-count", b"20,30"))
         is_repeatable = kind in ("draft", "look")
--- a/src/skylarkrack/core/relay/_places.py
+++ b/src/skylarkrack/core/relay/_places.py
@@ -1,7 +1,12 @@
 """The adapter places of one engine: what to load, what to evict, and in which order.
 
-One agent decides for one engine. An adapter that any entry uses or waits for is never evicted, and
-orders are counted as places from the moment they are sent until a report shows their effect.
+One agent decides for one engine. Orders are counted as places from the moment they are sent until
+a report shows their effect.
+
+An adapter that an entry uses is never evicted. What entries tell of their use is some milliseconds
+old, so an eviction has two steps: the adapter is *retired*, that is, told as no longer held, and it
+is evicted once every live entry has said that it heard so and has no run there. An entry that needs
+the adapter meanwhile ends its retirement.
 """
 
 from dataclasses import dataclass, field
@@ -16,6 +21,12 @@
 WANTED_LIFE_MS = 1500.0
 """What a silent entry wanted is forgotten after this."""
 
+LIVE_MS = 2500.0
+"""An entry tells something every second; one that is silent for longer is not waited for."""
+
+LISTEN_FIRST_MS = 500.0
+"""A new agent evicts nothing before; entries that hear it for the first time tell at once."""
+
 UNCONFIRMED_MS = 2000.0
 """An order without an answer, or without effect in the reports, is given up after this."""
 
@@ -99,6 +110,7 @@
 class _Demand:
     incarnation: str
     heard_ms: float
+    heard_sequence: int = 0
     wanted: dict[Name, Want] = field(default_factory=dict)
     in_use: dict[Name, int] = field(default_factory=dict)
 
@@ -115,10 +127,12 @@
 
     __slots__ = (
         "_demand_by_entry",
+        "_first_report_ms",
         "_limits",
         "_paused_until_ms",
         "_pending",
         "_report",
+        "_retired_at_by_name",
         "_used_ms_by_name",
         "_version_by_name",
         "fence",
@@ -128,8 +142,10 @@
         self.fence = fence
         self._limits: PlaceLimits | None = None
         self._report: EngineReport | None = None
+        self._first_report_ms = 0.0
         self._demand_by_entry: dict[str, _Demand] = {}
         self._version_by_name: dict[Name, int] = {}
+        self._retired_at_by_name: dict[Name, int | None] = {}
         self._used_ms_by_name: dict[Name, float] = {}
         self._pending: _Pending | None = None
         self._paused_until_ms = 0.0
@@ -141,6 +157,15 @@
         """The newest report of this incarnation, or None."""
         return self._report
 
+    def held_for_use(self) -> dict[Name, int]:
+        """Return what entries may use, by the newest report: retired adapters are left out."""
+        resident = {} if self._report is None else self._report.resident
+        return {n: version for n, version in resident.items() if n not in self._retired_at_by_name}
+
+    def is_retiring(self) -> bool:
+        """Tell whether an eviction waits for entries to have heard of it."""
+        return bool(self._retired_at_by_name)
+
     def is_expecting(self) -> bool:
         """Tell whether a report may soon show something new."""
         return self._pending is not None or bool(self._report and self._report.on_the_way)
@@ -164,7 +189,12 @@
         if self._report is not None and report.started_ms != self._report.started_ms:
             self._pending = None
             self._used_ms_by_name.clear()
+            self._retired_at_by_name.clear()
+        if self._report is None:
+            self._first_report_ms = now_ms
         self._report = report
+        for name in set(self._retired_at_by_name) - report.resident.keys():
+            del self._retired_at_by_name[name]
         for name in report.resident:
             self._used_ms_by_name.setdefault(name, now_ms)
         if self._pending is not None:
@@ -177,20 +207,28 @@
         *,
         wanted: dict[Name, Want],
         in_use: dict[Name, int],
+        heard_sequence: int,
         now_ms: float,
     ) -> None:
-        """Take what an entry waits for, and the runs it has here.
+        """Take what an entry waits for, the runs it has here, and which telling it heard last.
 
         A new incarnation of an entry has lost the runs of the one before; those may still be at
         the engine, which waits for their end before it evicts.
         """
-        self._demand_by_entry[entry] = _Demand(incarnation, now_ms, wanted, in_use)
+        self._demand_by_entry[entry] = _Demand(incarnation, now_ms, heard_sequence, wanted, in_use)
         for name in (*wanted, *in_use):
             self._used_ms_by_name[name] = now_ms
+            self._retired_at_by_name.pop(name, None)
         for name, want in wanted.items():
             known = self._version_by_name.get(name, 0)
             self._version_by_name[name] = max(known, want.version)
 
+    def told(self, sequence: int) -> None:
+        """Note that what may be used was told under this number."""
+        for name, retired_at in self._retired_at_by_name.items():
+            if retired_at is None:
+                self._retired_at_by_name[name] = sequence
+
     def next_order(self, now_ms: float) -> EngineOrder | None:
         """Return the order to send now, or None; its result is due before the next."""
         report, limits = self._report, self._limits
@@ -248,16 +286,13 @@
     def _adapter_order(self, now_ms: float) -> EngineOrder | None:
         if len(self._report.on_the_way) >= LOADS_AT_ONCE:
             return None
-        for name in self._wanted(now_ms):
-            if (name[0], "") not in self._report.resident:
-                continue
+        missing = [n for n in self._wanted(now_ms) if (n[0], "") in self._report.resident]
+        for name in missing:
             version = self._version_by_name.get(name) or None
-            if name in self._report.resident:
+            has_place = len(self._held()) < self._limits.adapter_places
+            if name in self._report.resident or has_place:
                 return self._order(OrderKind.LOAD, name, version)
-            if len(self._held()) < self._limits.adapter_places:
-                return self._order(OrderKind.LOAD, name, version)
-            return self._eviction(now_ms)
-        return None
+        return self._eviction(len(missing), now_ms) if missing else None
 
     def _wanted(self, now_ms: float) -> list[Name]:
         """Return the adapters that are waited for and not held as wanted, the most urgent first."""
@@ -297,13 +332,27 @@
                 return True
         return False
 
-    def _eviction(self, now_ms: float) -> EngineOrder | None:
-        """Return the eviction of the adapter that was unused for longest, or None."""
+    def _eviction(self, count: int, now_ms: float) -> EngineOrder | None:
+        """Return the eviction of an adapter that no entry can use any more; retire *count*."""
         idle = [name for name in self._evictable() if not self._is_needed(name, now_ms)]
-        if not idle:
-            return None
-        oldest = min(idle, key=lambda name: (self._used_ms_by_name.get(name, 0.0), name))
-        return self._order(OrderKind.UNLOAD, oldest, None)
+        idle.sort(key=lambda name: (self._used_ms_by_name.get(name, 0.0), name))
+        for name in idle[: min(count, LOADS_AT_ONCE)]:
+            self._retired_at_by_name.setdefault(name, None)
+        for name in idle:
+            if self._is_unused_for_sure(name, now_ms):
+                return self._order(OrderKind.UNLOAD, name, None)
+        return None
+
+    def _is_unused_for_sure(self, name: Name, now_ms: float) -> bool:
+        """Tell whether every live entry has heard that the adapter is retired."""
+        retired_at = self._retired_at_by_name.get(name)
+        if retired_at is None or now_ms < self._first_report_ms + LISTEN_FIRST_MS:
+            return False
+        return all(
+            demand.heard_sequence >= retired_at
+            for demand in self._demand_by_entry.values()
+            if now_ms - demand.heard_ms < LIVE_MS
+        )
 
     def _order(self, kind: OrderKind, name: Name, version: int | None) -> EngineOrder:
         return EngineOrder(
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -326,7 +326,8 @@
 
     *wanted* holds rows of [model, adapter, urgency, requests, least version], *in_use* of [model,
     adapter, runs], and *models* of [model, MB of weights]. *places* and *memory_mb* are what the
-    engine can hold by the configuration.
+    engine can hold by the configuration. *heard* is the number of the agent's last telling, of its
+    incarnation *heard_of*, that the entry goes by.
     """
 
     vm: str
@@ -341,6 +342,8 @@
     places: int
     memory_mb: float
     models: list
+    heard_of: str
+    heard: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -9,6 +9,7 @@
 from skylarkrack._tasks import Tasks
 from skylarkrack.core.relay import (
     Contact,
+    EngineOrder,
     EngineReport,
     Membership,
     PlaceLimits,
@@ -143,9 +144,10 @@
                 for row in message.wanted
             },
             in_use={(row[0], row[1]): row[2] for row in message.in_use},
+            heard_sequence=message.heard if message.heard_of == self._incarnation else 0,
             now_ms=now_ms,
         )
-        if message.wanted:
+        if message.wanted or self._places.is_retiring():
             self._wake.set()
 
     # The engine
@@ -165,19 +167,17 @@
             self._wake.clear()
 
     async def _step(self) -> None:
-        """Read a report, give the orders that are due, and tell entries of changes."""
+        """Read a report, tell entries of changes, and give the order that is due."""
         report = await self._engine.report()
         now_ms = monotonic_ms()
         self._places.reported(report, now_ms)
+        is_named = self._endpoint_id is not None and self._endpoint_id[0] == report.started_ms
+        order = self._places.next_order(now_ms) if is_named else None
         self._tell(report, now_ms)
-        if self._endpoint_id is None or self._endpoint_id[0] != report.started_ms:
-            return
-        await self._order(self._endpoint_id[1])
+        if order is not None:
+            await self._order(order, self._endpoint_id[1])
 
-    async def _order(self, endpoint_id: str) -> None:
-        order = self._places.next_order(monotonic_ms())
-        if order is None:
-            return
+    async def _order(self, order: EngineOrder, endpoint_id: str) -> None:
         began_ms = monotonic_ms()
         result = await self._engine.order(
             order, endpoint_id=endpoint_id, holder=self._settings.vm, fence=self._places.fence
@@ -201,7 +201,8 @@
 
     def _tell(self, report: EngineReport, now_ms: float) -> None:
         spare = self._places.spare_places(now_ms)
-        told = (report.started_ms, report.resident, report.on_the_way)
+        usable = self._places.held_for_use()
+        told = (report.started_ms, usable, report.on_the_way)
         if told == self._told and now_ms - self._told_ms < TELL_MS:
             return
         self._told, self._told_ms = told, now_ms
@@ -214,10 +215,11 @@
             domain=self._settings.domain,
             endpoint=self._settings.engine,
             started_ms=report.started_ms,
-            resident=[[*name, version] for name, version in report.resident.items()],
+            resident=[[*name, version] for name, version in usable.items()],
             on_the_way=[[*name, version] for name, version in report.on_the_way.items()],
             spare_places=spare,
         )
+        self._places.told(self._sequence)
         entries = [contact.address for contact in self._membership.alive("entry", now_ms)]
         self._datagrams.send_to(message, entries)
 
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -79,6 +79,7 @@
         "_endpoints",
         "_front",
         "_handover",
+        "_heard_by_endpoint",
         "_incarnation",
         "_is_leaving",
         "_is_listed",
@@ -91,6 +92,7 @@
         "_started_ms",
         "_status",
         "_tasks",
+        "_told_in_use_by_key",
         "_told_ms",
         "_usage",
     )
@@ -145,7 +147,9 @@
         )
         self._status = StatusServer(sources, limits=ServerLimits())
         self._agent_by_endpoint: dict[str, str] = {}
+        self._heard_by_endpoint: dict[str, tuple[str, int]] = {}
         self._demanded_ms_by_key: dict[tuple[str, int], float] = {}
+        self._told_in_use_by_key: dict[tuple[str, int], frozenset] = {}
         self._is_leaving = False
         self._is_listed = False
         self._sequence = 0
@@ -348,16 +352,24 @@
             vm=message.vm, address=message.address, role="agent", domain=message.domain
         )
         self._note_member(contact, now_ms)
+        known = self._heard_by_endpoint.get(message.endpoint)
+        if known is not None and known[0] == message.incarnation and known[1] > message.sequence:
+            # A datagram that was overtaken: what it says no longer holds.
+            return
         self._agent_by_endpoint[message.endpoint] = message.address
+        self._heard_by_endpoint[message.endpoint] = (message.incarnation, message.sequence)
         state = EngineState(
             received_ms=now_ms,
             resident={(row[0], row[1]): row[2] for row in message.resident},
             on_the_way={(row[0], row[1]): row[2] for row in message.on_the_way},
             spare_places=message.spare_places,
         )
-        event = EngineHeard(key=(message.endpoint, message.started_ms), state=state)
-        if self._dispatcher.observe(event) and self._dispatcher.waiting_count():
-            self._desk.wake()
+        key = (message.endpoint, message.started_ms)
+        if self._dispatcher.observe(EngineHeard(key=key, state=state)):
+            # The agent may wait to hear that an adapter is not used here any more.
+            self._tell_demand_soon(key)
+            if self._dispatcher.waiting_count():
+                self._desk.wake()
 
     # What this process tells
 
@@ -415,7 +427,9 @@
             pause_ms = (
                 DEMAND_MS if self._dispatcher.load.own_adapters(endpoint.key) else IDLE_DEMAND_MS
             )
-            if self._dispatcher.wanted_at(endpoint.key):
+            in_use = self._dispatcher.load.own_adapters(endpoint.key).keys()
+            is_news = not in_use <= self._told_in_use_by_key.get(endpoint.key, frozenset())
+            if is_news or self._dispatcher.wanted_at(endpoint.key):
                 pause_ms = TICK_MS
             told_ms = self._demanded_ms_by_key.get(endpoint.key, float("-inf"))
             if now_ms - told_ms >= pause_ms - TICK_MS / 2:
@@ -434,8 +448,10 @@
             return
         self._demanded_ms_by_key[endpoint.key] = now_ms
         self._sequence += 1
+        heard_of, heard = self._heard_by_endpoint.get(endpoint.address, ("", 0))
         wanted = self._dispatcher.wanted_at(endpoint.key)
         in_use = self._dispatcher.load.own_adapters(endpoint.key)
+        self._told_in_use_by_key[endpoint.key] = frozenset(in_use)
         demand = AdapterDemand(
             vm=self._settings.vm,
             address=self._settings.peers,
@@ -449,6 +465,8 @@
             places=shape.adapter_places,
             memory_mb=shape.memory_mb,
             models=[[m.name, m.weights_mb] for m in shape.model_by_name.values()],
+            heard_of=heard_of,
+            heard=heard,
         )
         self._datagrams.send(demand, address)
 
--- a/tests/test_relay_places.py
+++ b/tests/test_relay_places.py
@@ -6,7 +6,11 @@
 from hypothesis import strategies as st
 
 from skylarkrack.core.relay import OrderKind, OrderResult, Places, Want
-from skylarkrack.core.relay._places import UNCONFIRMED_MS
+from skylarkrack.core.relay._places import (
+    LISTEN_FIRST_MS,
+    LIVE_MS,
+    UNCONFIRMED_MS,
+)
 from tests.relay_builders import MODEL, place_limits, report
 
 
@@ -14,7 +18,7 @@
     """Return the places of an engine that holds *adapters* and has three places."""
     found = Places(fence=1)
     found.limits_known(place_limits())
-    found.reported(report(*adapters), 0.0)
+    found.reported(report(*adapters), -LISTEN_FIRST_MS)
     return found
 
 
@@ -24,6 +28,7 @@
     entry: str = "n1",
     now_ms: float = 0.0,
     version: int = 0,
+    heard: int = 0,
     **uses: int,
 ) -> None:
     """Let an entry wait for *adapters* and use others."""
@@ -34,10 +39,20 @@
             (MODEL, adapter): Want(urgency=1, requests=1, version=version) for adapter in adapters
         },
         in_use={(MODEL, adapter): count for adapter, count in uses.items()},
+        heard_sequence=heard,
         now_ms=now_ms,
     )
 
 
+def evict(found: Places, *adapters: str, now_ms: float = 0.0) -> object:
+    """Let the one entry hear what was retired, and return the order that follows."""
+    if found.next_order(now_ms) is not None:
+        raise AssertionError("an order before the entry has heard of it")
+    found.told(1)
+    want(found, *adapters, heard=1, now_ms=now_ms)
+    return found.next_order(now_ms)
+
+
 class TestPlaces(unittest.TestCase):
     """Loads, evictions, and what must never be ordered."""
 
@@ -54,9 +69,54 @@
         want(found, a3=1, now_ms=2.0)
         want(found, now_ms=3.0)
         want(found, "a4", now_ms=4.0)
-        order = found.next_order(4.0)
+        order = evict(found, "a4", now_ms=4.0)
         self.assertEqual((order.kind, order.adapter), (OrderKind.UNLOAD, "a2"))
 
+    def test_an_eviction_waits_until_every_live_entry_has_heard_of_it(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, entry="n2")
+        want(found, "a4", entry="n1")
+        self.assertIsNone(found.next_order(0.0))
+        self.assertNotIn((MODEL, "a1"), found.held_for_use())
+        found.told(7)
+        want(found, "a4", entry="n1", heard=7)
+        self.assertIsNone(found.next_order(1.0))
+        want(found, entry="n2", heard=6)
+        self.assertIsNone(found.next_order(1.0))
+        want(found, entry="n2", heard=7)
+        self.assertIs(found.next_order(1.0).kind, OrderKind.UNLOAD)
+
+    def test_an_entry_that_began_to_use_a_retired_adapter_keeps_it(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, "a4", entry="n1")
+        found.next_order(0.0)
+        found.told(1)
+        want(found, entry="n2", heard=1, a1=1)
+        want(found, "a4", entry="n1", heard=1)
+        self.assertIn((MODEL, "a1"), found.held_for_use())
+        order = found.next_order(0.0)
+        self.assertTrue(order is None or order.adapter != "a1")
+
+    def test_a_new_agent_listens_before_it_evicts(self) -> None:
+        found = Places(fence=1)
+        found.limits_known(place_limits())
+        found.reported(report("a1", "a2", "a3"), 0.0)
+        want(found, "a4", entry="n1")
+        found.next_order(0.0)
+        found.told(1)
+        want(found, "a4", entry="n1", heard=1, now_ms=LISTEN_FIRST_MS)
+        self.assertIsNone(found.next_order(LISTEN_FIRST_MS - 1))
+        self.assertIs(found.next_order(LISTEN_FIRST_MS).kind, OrderKind.UNLOAD)
+
+    def test_an_entry_that_died_is_not_waited_for(self) -> None:
+        found = places("a1", "a2", "a3")
+        want(found, entry="n2")
+        want(found, "a4", entry="n1", now_ms=LIVE_MS)
+        found.next_order(LIVE_MS)
+        found.told(1)
+        want(found, "a4", entry="n1", heard=1, now_ms=LIVE_MS)
+        self.assertIs(found.next_order(LIVE_MS).kind, OrderKind.UNLOAD)
+
     def test_an_adapter_in_use_is_never_evicted(self) -> None:
         found = places("a1", "a2", "a3")
         want(found, "a4", entry="n1", a1=1, a2=1)
@@ -73,7 +133,7 @@
     def test_a_full_engine_evicts_before_it_loads(self) -> None:
         found = places("a1", "a2", "a3")
         want(found, "a4")
-        self.assertIs(found.next_order(0.0).kind, OrderKind.UNLOAD)
+        self.assertIs(evict(found, "a4").kind, OrderKind.UNLOAD)
         found.answered(OrderResult.ALREADY_SO, 1.0)
         found.reported(report("a2", "a3", sequence=1), 2.0)
         self.assertIs(found.next_order(2.0).kind, OrderKind.LOAD)
@@ -95,8 +155,7 @@
         found.next_order(0.0)
         found.answered(OrderResult.UNKNOWN, 1.0)
         found.reported(report("a1", "a2", sequence=1, on_the_way={(MODEL, "a4"): 1}), 2.0)
-        order = found.next_order(2.0)
-        self.assertIs(order.kind, OrderKind.UNLOAD)
+        self.assertIs(evict(found, "a5", now_ms=2.0).kind, OrderKind.UNLOAD)
 
     def test_a_fenced_order_raises_the_fence(self) -> None:
         found = places()
@@ -163,23 +222,29 @@
         )
     )
     def test_places_and_use(self, steps: list) -> None:
-        found, engine, now_ms = places(), _Engine(), 0.0
+        found, engine, now_ms, told = places(), _Engine(), 0.0, 0
+        usable: set[str] = set()
         for wanted, used, fate in steps:
             now_ms += 50.0
-            used = {number for number in used if f"a{number}" in engine.held}
+            # The entry uses what it was told of last, which may have been retired since.
+            used = {number for number in used if f"a{number}" in usable}
             want(
                 found,
                 *(f"a{number}" for number in wanted),
                 now_ms=now_ms,
+                heard=told,
                 **{f"a{number}": 1 for number in used},
             )
             if fate != "no report":
                 found.reported(report(*engine.held, sequence=engine.sequence), now_ms)
             order = found.next_order(now_ms)
-            if order is None:
-                continue
-            if order.kind is OrderKind.UNLOAD:
-                self.assertNotIn(int(order.adapter[1:]), used)
-            result = OrderResult.UNKNOWN if fate == "lost order" else engine.obey(order)
-            found.answered(OrderResult.UNKNOWN if fate == "lost answer" else result, now_ms)
+            if order is not None:
+                if order.kind is OrderKind.UNLOAD:
+                    self.assertNotIn(int(order.adapter[1:]), used)
+                result = OrderResult.UNKNOWN if fate == "lost order" else engine.obey(order)
+                found.answered(OrderResult.UNKNOWN if fate == "lost answer" else result, now_ms)
             self.assertLessEqual(engine.most, 3)
+            found.told(told + 1)
+            if fate != "no report":
+                told += 1
+                usable = {adapter for _, adapter in found.held_for_use()}
