--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -29,7 +29,7 @@
     incarnation = secrets.token_hex(8)
     if role == "entry":
         entry = RelayEntry(settings.relay, dialect=PlatformDialect(), incarnation=incarnation)
-        return entry, StoreWatcher(settings.store, entry)
+        return entry, StoreWatcher(settings.store, entry.registry)
     # Nothing of an agent outlasts it but the clock, so its calendar makes later fences higher.
     agent = EngineAgent(
         settings.relay,
--- /dev/null
+++ b/src/skylarkrack/relay/_conversation.py
@@ -0,0 +1,242 @@
+"""What an entry tells other entries and agents, and what it hears from them."""
+
+from collections.abc import Iterable
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._events import Event, log
+from skylarkrack.core.relay import Contact, Endpoint, EngineHeard, EngineState, Membership
+from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
+from skylarkrack.relay._datagrams import Datagrams
+from skylarkrack.relay._exchange import ExchangeParts
+from skylarkrack.relay._handover import Handover
+from skylarkrack.relay._settings import RelaySettings
+
+TICK_MS = 50.0
+"""Time between looks at what has to be told."""
+
+BUSY_TELL_MS = 100.0
+"""Time between states told to other entries while requests run."""
+
+IDLE_TELL_MS = 400.0
+"""The same without requests; below the age at which a peer's state is dropped."""
+
+DEMAND_MS = 250.0
+"""Time between demands told to an agent whose engine has runs of this entry."""
+
+IDLE_DEMAND_MS = 1000.0
+"""The same without runs: the agent still learns under which id its engine is registered."""
+
+RETRY_PART = 0.5
+"""Part of the fleet's retry slack that all entries together save up."""
+
+
+class Conversation:
+    """Datagrams from and to the other processes, and who they are."""
+
+    __slots__ = (
+        "_agent_by_endpoint",
+        "_datagrams",
+        "_demanded_ms_by_key",
+        "_handover",
+        "_heard_by_endpoint",
+        "_incarnation",
+        "_membership",
+        "_parts",
+        "_sequence",
+        "_settings",
+        "_told_in_use_by_key",
+        "_told_ms",
+    )
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        *,
+        parts: ExchangeParts,
+        handover: Handover,
+        incarnation: str,
+    ) -> None:
+        self._settings = settings
+        self._parts = parts
+        self._handover = handover
+        self._incarnation = incarnation
+        own = Contact(vm=settings.vm, address=settings.peers, role="entry", domain=settings.domain)
+        self._membership = Membership(own)
+        self._membership.set_seeds(settings.seeds)
+        self._datagrams = Datagrams(self._hear)
+        self._agent_by_endpoint: dict[str, str] = {}
+        self._heard_by_endpoint: dict[str, tuple[str, int]] = {}
+        self._demanded_ms_by_key: dict[tuple[str, int], float] = {}
+        self._told_in_use_by_key: dict[tuple[str, int], frozenset] = {}
+        self._sequence = 0
+        self._told_ms = 0.0
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._datagrams.start(self._settings.peers)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._datagrams.close()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other addresses to begin with."""
+        self._membership.set_seeds(seeds)
+
+    def alive(self, role: str) -> Iterable[str]:
+        """Return the VMs of *role* that were heard lately."""
+        return [contact.vm for contact in self._membership.alive(role, monotonic_ms())]
+
+    # What other processes tell
+
+    def _hear(self, message: object) -> None:
+        now_ms = monotonic_ms()
+        if isinstance(message, Roster):
+            self._hear_roster(message, now_ms)
+        elif isinstance(message, RelayState):
+            self._hear_entry(message, now_ms)
+        elif isinstance(message, EngineTold):
+            self._hear_engine(message, now_ms)
+
+    def _hear_roster(self, message: Roster, now_ms: float) -> None:
+        contacts = [Contact(vm=r[0], address=r[1], role=r[2], domain=r[3]) for r in message.members]
+        self._note_member(contacts[0], now_ms)
+        for contact in contacts[1:]:
+            self._membership.told(contact, now_ms)
+
+    def _note_member(self, contact: Contact, now_ms: float) -> None:
+        if self._membership.heard(contact, now_ms):
+            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
+            self._datagrams.send(self._roster(now_ms), contact.address)
+
+    def _hear_entry(self, message: RelayState, now_ms: float) -> None:
+        contact = Contact(
+            vm=message.vm, address=message.address, role="entry", domain=message.domain
+        )
+        self._note_member(contact, now_ms)
+        self._handover.compare(message.status, message.table_version, message.announced)
+        self._parts.usage.heard(message.vm, message.incarnation, message.granted, now_ms)
+        self._parts.crashes.told(message.suspects, now_ms)
+        runs = {(row[0], row[1]): row[2] for row in message.loads}
+        tokens = {(row[0], row[1]): row[3] for row in message.loads}
+        self._parts.desk.dispatcher.load.told(message.vm, runs, tokens, now_ms)
+
+    def _hear_engine(self, message: EngineTold, now_ms: float) -> None:
+        contact = Contact(
+            vm=message.vm, address=message.address, role="agent", domain=message.domain
+        )
+        self._note_member(contact, now_ms)
+        known = self._heard_by_endpoint.get(message.endpoint)
+        if known is not None and known[0] == message.incarnation and known[1] > message.sequence:
+            # A datagram that was overtaken: what it says no longer holds.
+            return
+        self._agent_by_endpoint[message.endpoint] = message.address
+        self._heard_by_endpoint[message.endpoint] = (message.incarnation, message.sequence)
+        state = EngineState(
+            received_ms=now_ms,
+            resident={(row[0], row[1]): row[2] for row in message.resident},
+            on_the_way={(row[0], row[1]): row[2] for row in message.on_the_way},
+            spare_places=message.spare_places,
+        )
+        key = (message.endpoint, message.started_ms)
+        if self._parts.desk.dispatcher.observe(EngineHeard(key=key, state=state)):
+            # The agent may wait to hear that an adapter is not used here any more.
+            self.tell_demand_soon(key)
+            if self._parts.desk.dispatcher.waiting_count():
+                self._parts.desk.wake()
+
+    # What this process tells
+
+    def tell(self, now_ms: float) -> None:
+        """Tell whoever is due."""
+        self._parts.usage.forget_silent(now_ms)
+        self._tell_entries(now_ms)
+        self._tell_agents(now_ms)
+        for address in self._membership.to_call(now_ms):
+            self._datagrams.send(self._roster(now_ms), address)
+
+    def _roster(self, now_ms: float) -> Roster:
+        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
+        return Roster(members=rows)
+
+    def _tell_entries(self, now_ms: float) -> None:
+        own = self._parts.desk.dispatcher.load.own()
+        pause_ms = BUSY_TELL_MS if own else IDLE_TELL_MS
+        if now_ms - self._told_ms < pause_ms - TICK_MS / 2:
+            return
+        self._told_ms = now_ms
+        entries = [contact.address for contact in self._membership.alive("entry", now_ms)]
+        self._share_retries(len(entries) + 1)
+        if not entries:
+            return
+        self._sequence += 1
+        table = self._parts.desk.dispatcher.table
+        state = RelayState(
+            vm=self._settings.vm,
+            address=self._settings.peers,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            domain=self._settings.domain,
+            status=self._settings.status or "",
+            table_version=0 if table is None else table.version,
+            announced=self._parts.desk.dispatcher.announced,
+            granted=self._parts.usage.granted(),
+            suspects=self._parts.crashes.telling(),
+            loads=[[key[0], key[1], runs, tokens] for key, (runs, tokens) in own.items()],
+        )
+        self._datagrams.send_to(state, entries)
+
+    def _share_retries(self, entries: int) -> None:
+        most = max(1.0, self._settings.retry_slack * RETRY_PART / entries)
+        for budget in self._parts.retries_by_service.values():
+            budget.set_most(most)
+
+    def _tell_agents(self, now_ms: float) -> None:
+        for endpoint in self._parts.desk.dispatcher.directory.all():
+            pause_ms = (
+                DEMAND_MS
+                if self._parts.desk.dispatcher.load.own_adapters(endpoint.key)
+                else IDLE_DEMAND_MS
+            )
+            in_use = self._parts.desk.dispatcher.load.own_adapters(endpoint.key).keys()
+            is_news = not in_use <= self._told_in_use_by_key.get(endpoint.key, frozenset())
+            if is_news or self._parts.desk.dispatcher.wanted_at(endpoint.key):
+                pause_ms = TICK_MS
+            told_ms = self._demanded_ms_by_key.get(endpoint.key, float("-inf"))
+            if now_ms - told_ms >= pause_ms - TICK_MS / 2:
+                self._tell_agent(endpoint, now_ms)
+
+    def tell_demand_soon(self, key: tuple[str, int]) -> None:
+        """Tell an agent at once that a request has begun to wait for it."""
+        for endpoint in self._parts.desk.dispatcher.directory.all():
+            if endpoint.key == key:
+                self._tell_agent(endpoint, monotonic_ms())
+
+    def _tell_agent(self, endpoint: Endpoint, now_ms: float) -> None:
+        address = self._agent_by_endpoint.get(endpoint.address)
+        shape = self._parts.desk.dispatcher.shape_of(endpoint)
+        if address is None or shape is None:
+            return
+        self._demanded_ms_by_key[endpoint.key] = now_ms
+        self._sequence += 1
+        heard_of, heard = self._heard_by_endpoint.get(endpoint.address, ("", 0))
+        wanted = self._parts.desk.dispatcher.wanted_at(endpoint.key)
+        in_use = self._parts.desk.dispatcher.load.own_adapters(endpoint.key)
+        self._told_in_use_by_key[endpoint.key] = frozenset(in_use)
+        demand = AdapterDemand(
+            vm=self._settings.vm,
+            address=self._settings.peers,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            domain=self._settings.domain,
+            endpoint_id=endpoint.endpoint_id,
+            started_ms=endpoint.started_ms,
+            wanted=[[*n, w.urgency, w.requests, w.version] for n, w in wanted.items()],
+            in_use=[[*name, count] for name, count in in_use.items()],
+            places=shape.adapter_places,
+            memory_mb=shape.memory_mb,
+            models=[[m.name, m.weights_mb] for m in shape.model_by_name.values()],
+            heard_of=heard_of,
+            heard=heard,
+        )
+        self._datagrams.send(demand, address)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from skylarkrack._burn import FIRST_TOKEN_OBJECTIVE_MS, BurnMeter
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
@@ -48,6 +49,7 @@
     dialect: Dialect
     endpoints: Endpoints
     metrics: Metrics
+    burn: BurnMeter
     usage: Usage
     crashes: Crashes
     tasks: Tasks
@@ -334,6 +336,8 @@
             headers = self._parts.dialect.headers_for_caller(response.headers)
             self._responder.start(response.status, headers)
             waited_ms = monotonic_ms() - self.ticket.call.arrived_ms
+            is_soon = waited_ms <= FIRST_TOKEN_OBJECTIVE_MS
+            self._parts.burn.observe("first_token", is_good=is_soon, now_ms=monotonic_ms())
             self._parts.metrics.observe_ms("first_event_ms", waited_ms, self.ticket.route.name)
         self._responder.send(events)
         self._parts.metrics.count("events_total")
@@ -362,6 +366,7 @@
         self.state = "ended"
         self._parts.crashes.ended_well(self.ticket.fingerprint, now_ms)
         self._log(Event.RELAY_ENDED, took_ms, status=status, sends=self._sends + 1)
+        self._parts.burn.observe("answered", is_good=status < _SERVER_ERROR, now_ms=now_ms)
         self._parts.metrics.count("answered_total", str(status))
         self._parts.metrics.observe_ms("took_ms", took_ms, self.ticket.route.name)
 
@@ -375,6 +380,7 @@
             sends=self._sends,
             runs_begun=self._runs,
         )
+        self._parts.burn.observe("answered", is_good=False, now_ms=monotonic_ms())
         self._parts.metrics.count("refused_total", refusal.code.name.lower())
         if refusal.outcome is Outcome.NOT_RUN and self.ticket.cost:
             self._parts.usage.give_back(self.ticket.organisation, self.ticket.cost)
--- a/src/skylarkrack/web/__init__.py
+++ b/src/skylarkrack/web/__init__.py
@@ -1,10 +1,18 @@
 """HTTP/1.1 towards callers, endpoints and the platform, on `h11`."""
 
 from skylarkrack.web._client import ClientResponse, HttpClient
-from skylarkrack.web._server import Headers, HttpServer, Request, Responder, ServerLimits
+from skylarkrack.web._server import (
+    Handler,
+    Headers,
+    HttpServer,
+    Request,
+    Responder,
+    ServerLimits,
+)
 
 __all__ = [
     "ClientResponse",
+    "Handler",
     "Headers",
     "HttpClient",
     "HttpServer",
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -90,7 +90,7 @@
         for worker in self.workers:
             await worker.start()
         await self.entry.start()
-        self.entry.table_published(as_bytes(config()))
+        self.entry.registry.table_published(as_bytes(config()))
         self.list_workers()
         return self
 
@@ -113,7 +113,7 @@
             )
             for index, worker in enumerate(self.workers)
         ]
-        self.entry.endpoints_listed(endpoints, set())
+        self.entry.registry.endpoints_listed(endpoints, set())
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Return a caller's connection."""
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -115,17 +115,17 @@
     async def test_a_newer_configuration_comes_from_a_peer(self) -> None:
         seed = settings("n1")
         one, two = await self.start(seed, settings("n2", seed.peers))
-        two.table_published(as_bytes(config(5)))
-        one.table_published(as_bytes(config(9)))
-        one.adapter_published(MODEL, "a1", 4)
+        two.registry.table_published(as_bytes(config(5)))
+        one.registry.table_published(as_bytes(config(9)))
+        one.registry.adapter_published(MODEL, "a1", 4)
         await until(lambda: two.describe()["table"] == 9)
         await until(lambda: two.describe()["announced"] == 4)
 
     async def test_an_older_configuration_of_a_peer_changes_nothing(self) -> None:
         seed = settings("n1")
         one, two = await self.start(seed, settings("n2", seed.peers))
-        one.table_published(as_bytes(config(5)))
-        two.table_published(as_bytes(config(9)))
+        one.registry.table_published(as_bytes(config(5)))
+        two.registry.table_published(as_bytes(config(9)))
         await until(lambda: one.describe()["table"] == 9)
         self.assertEqual(two.describe()["table"], 9)
 
@@ -149,7 +149,7 @@
         """Send one request for an adapter that the engine does not hold."""
         worker = PlatformWorker([stream(b"id: 1\ndata: a\n\n")])
         async with Rig(worker, service="llm") as rig:
-            rig.entry.endpoints_listed([], set())
+            rig.entry.registry.endpoints_listed([], set())
             agent = EngineAgent(
                 settings("s1", rig.peers, engine=worker.address),
                 engine=engine,
@@ -159,7 +159,7 @@
             await agent.start()
             try:
                 item = endpoint("e1", service="llm", address=worker.address)
-                rig.entry.endpoints_listed([item], set())
+                rig.entry.registry.endpoints_listed([item], set())
                 return await rig.ask(model_request(adapter="a2")), worker
             finally:
                 await agent.close()
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -326,7 +326,7 @@
             reader, writer = await rig.connect()
             writer.write(model_request())
             got = await reader.readuntil(EVENTS[0])
-            rig.entry.table_published(as_bytes(config(2, tenants=[])))
+            rig.entry.registry.table_published(as_bytes(config(2, tenants=[])))
             go_on.set()
             got += await asyncio.wait_for(reader.read(-1), 2)
             writer.close()
