--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -51,7 +51,7 @@
         retry_slack=_number(value_by_key, "bounds.budget-slack", DEFAULT_RETRY_SLACK),
         callers=value_by_key.get("listen.front"),
         readiness=value_by_key.get("listen.ready"),
-        status=value_by_key.get("listen.control"),
+        status=value_by_key.get("listen.control") or f"{value_by_key['ip']}:{int(port) + 1}",
         engine=value_by_key.get("app"),
         cuts_withdrawn=value_by_key.get("bounds.strict-revoke") == "true",
     )
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+from skylarkrack._burn import BurnMeter
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import LinkLost
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
+from skylarkrack._status import StatusServer, StatusSources
 from skylarkrack._tasks import Tasks
+from skylarkrack._traces import Traces
 from skylarkrack.core.relay import (
     Contact,
     EngineOrder,
@@ -20,6 +23,7 @@
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._registry import EnginePort
 from skylarkrack.relay._settings import RelaySettings
+from skylarkrack.web import ServerLimits
 
 IDLE_POLL_MS = 100.0
 """Time between reports while nothing is expected."""
@@ -46,6 +50,7 @@
         "_places",
         "_sequence",
         "_settings",
+        "_status",
         "_tasks",
         "_told",
         "_told_ms",
@@ -64,6 +69,10 @@
         self._engine = engine
         self._incarnation = incarnation
         self._metrics = Metrics()
+        sources = StatusSources(
+            describe=self.describe, metrics=self._metrics, burn=BurnMeter(), traces=Traces()
+        )
+        self._status = StatusServer(sources, limits=ServerLimits())
         self._tasks = Tasks()
         self._places = Places(fence=fence)
         own = Contact(vm=settings.vm, address=settings.peers, role="agent", domain=settings.domain)
@@ -79,6 +88,8 @@
     async def start(self) -> None:
         """Begin to read the engine's reports and to talk to entries."""
         await self._datagrams.start(self._settings.peers)
+        if self._settings.status is not None:
+            await self._status.start(self._settings.status)
         self._tasks.spawn(self._run_engine())
         self._tasks.spawn(self._keep_membership())
 
@@ -90,6 +101,18 @@
         self._tasks.close()
         self._engine.close()
         self._datagrams.close()
+        await self._status.close()
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for operators."""
+        report = self._places.report
+        return {
+            "vm": self._settings.vm,
+            "engine": self._settings.engine,
+            "endpoint": None if self._endpoint_id is None else self._endpoint_id[1],
+            "held": [] if report is None else ["/".join(name) for name in report.resident],
+            "entries": [c.vm for c in self._membership.alive("entry", monotonic_ms())],
+        }
 
     def settings_changed(self, settings: RelaySettings) -> None:
         """Take what may change while the process runs: the seeds."""
@@ -157,6 +180,7 @@
             try:
                 await self._step()
             except LinkLost as error:
+                self._metrics.count("reports_failed_total")
                 log(Event.REPORT_FAILED, engine=self._settings.engine, error=str(error))
             pause_ms = BUSY_POLL_MS if self._places.is_expecting() else IDLE_POLL_MS
             try:
@@ -196,6 +220,7 @@
             took_ms=round(now_ms - began_ms),
         )
         self._metrics.count("orders_total", f"{order.kind.value}-{result.value}")
+        self._metrics.observe_ms("order_ms", now_ms - began_ms)
         # The next report shows the order's effect, and may make room for another at once.
         self._wake.set()
 
