--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/python -m bench.slopes
 	$(BIN)/python -m bench.data_path
 	$(BIN)/python -m bench.control
+	$(BIN)/python -m bench.relay
 
 measure: $(READY)
 	$(BIN)/python -m bench.measure
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 ENTRIES, ENGINES, DESKS = 3, 2, 2
+SEEDS = 3
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8221, 8224, 8229, 7600
 STORE = "127.9.9.1:8225"
 STORE_PROXY = "127.9.9.2:8225"
@@ -52,7 +53,7 @@
 class Fleet:
     """Starts everything, and keeps processes running as the platform would."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, *, entries: int = ENTRIES) -> None:
         self.ledger = Ledger(rate_per_s=RATE, burst=BURST)
         self.store = PlatformStore()
         self.store_proxy = Proxy(STORE_PROXY, STORE)
@@ -61,6 +62,7 @@
         self.proxies: list[Proxy] = []
         self.keys = set(KEYS)
         self.config_version = 0
+        self._entry_count = entries
         self._folder = folder
         self._keepers: list[asyncio.Task] = []
 
@@ -84,7 +86,7 @@
             await proxy.start()
             self.proxies.append(proxy)
             await self._add_endpoint(desk, "desk", proxy.address)
-        for number in range(1, ENTRIES + 1):
+        for number in range(1, self._entry_count + 1):
             self._add_machine(f"front-{number}", "entry", f"127.9.0.{number}")
         self._keepers = [asyncio.create_task(self._keep(machine)) for machine in self.machines]
 
@@ -133,7 +135,7 @@
         self.register(endpoint, service, address)
 
     def _add_machine(self, name: str, role: str, ip: str, *, app: str = "") -> None:
-        seeds = ",".join(f"127.9.0.{number}:{CONTROL_PORT}" for number in range(1, ENTRIES + 1))
+        seeds = ",".join(f"127.9.0.{number}:{CONTROL_PORT}" for number in range(1, SEEDS + 1))
         lines = [
             f"node-name={name}",
             f"ip={ip}",
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,28 @@
 ANSWER_TIMEOUT_MS = 6000.0
 
 
+async def until_served(machine: Machine) -> None:
+    """Wait until an entry serves a plain request; raises `TimeoutError`."""
+    headers = [(b"host", b"a.example"), (b"authorization", b"Token key-one")]
+    for number in range(int(START_LIMIT_S / START_PAUSE_S)):
+        client = HttpClient(f"{machine.ip}:{machine.caller_address[1]}")
+        shown = (b"x-attempt-id", f"start-{machine.name}-{number}".encode())
+        try:
+            answer = await client.request(
+                "POST", "/look/x", headers=[*headers, shown], timeout_ms=ANSWER_TIMEOUT_MS
+            )
+            await answer.whole(timeout_ms=ANSWER_TIMEOUT_MS)
+            if answer.status == 200:
+                return
+        except LinkLost:
+            # The process has not begun to listen.
+            pass
+        finally:
+            client.close()
+        await asyncio.sleep(START_PAUSE_S)
+    raise TimeoutError(f"{machine.name} does not serve")
+
+
 class Soak:
     """One seed: callers and faults at once, then the recovery."""
 
@@ -64,15 +86,8 @@
     # Callers
 
     async def _until_ready(self) -> None:
-        async with asyncio.timeout(START_LIMIT_S):
-            for machine in self.fleet.entries:
-                await self._until_served(machine)
-
-    async def _until_served(self, machine: Machine) -> None:
-        for _ in range(int(START_LIMIT_S / START_PAUSE_S)):
-            if await self._ask(machine, "look", "key-one") == 200:
-                return
-            await asyncio.sleep(START_PAUSE_S)
+        for machine in self.fleet.entries:
+            await until_served(machine)
 
     async def _call_forever(self, number: int) -> None:
         """Use one connection until it is gone, then another, as a caller does."""
--- a/src/skylarkrack/web/_connection.py
+++ b/src/skylarkrack/web/_connection.py
@@ -30,9 +30,11 @@
         "_is_spoilt",
         "_keep_alive_ms",
         "_method",
+        "_timer",
         "_transport",
         "_unread_bytes",
         "_waiter",
+        "_waits_until_s",
         "idle_since_s",
     )
 
@@ -40,6 +42,8 @@
         self._transport: asyncio.Transport | None = None
         self._h11 = h11.Connection(h11.CLIENT)
         self._waiter: asyncio.Future | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._waits_until_s = 0.0
         self._events: deque = deque()
         self._error: Exception | None = None
         self._is_spoilt = False
@@ -146,6 +150,9 @@
     def close(self) -> None:
         """Close the connection; bytes that are not read yet are dropped."""
         self._is_spoilt = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         if self._transport is not None:
             self._transport.abort()
 
@@ -182,17 +189,30 @@
             raise LinkLost(f"broken answer: {self._error!r}", sent=True) from self._error
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
-        timer = loop.call_later(timeout_ms / 1000, self._time_out)
+        self._waits_until_s = loop.time() + timeout_ms / 1000
+        if self._timer is None or self._timer.when() > self._waits_until_s:
+            self._arm(loop)
         try:
             await self._waiter
         finally:
-            timer.cancel()
             self._waiter = None
         if not self._events:
             error = self._error
             raise LinkLost(f"broken answer: {error!r}", sent=True) from error
 
-    def _time_out(self) -> None:
+    def _arm(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Look at the wait's end whether it has ended; a timer for each event would cost more."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(self._waits_until_s, self._check_wait, loop)
+
+    def _check_wait(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._timer = None
+        if self._waiter is None:
+            return
+        if loop.time() < self._waits_until_s:
+            self._arm(loop)
+            return
         self._error = self._error or TimeoutError("no bytes in time")
         self._wake()
         self.close()
