--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -1,14 +1,11 @@
 """What an entry tells other entries and agents, and what it hears from them."""
 
-from collections.abc import Iterable
-
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._events import Event, log
-from skylarkrack.core.relay import Contact, Endpoint, EngineHeard, EngineState, Membership
-from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
-from skylarkrack.relay._datagrams import Datagrams
+from skylarkrack.core.relay import Endpoint, EngineHeard, EngineState
+from skylarkrack.messages import AdapterDemand, EngineTold, RelayState
 from skylarkrack.relay._exchange import ExchangeParts
 from skylarkrack.relay._handover import Handover
+from skylarkrack.relay._peers import AGENT, ENTRY, Peers
 from skylarkrack.relay._settings import RelaySettings
 
 TICK_MS = 50.0
@@ -35,13 +32,12 @@
 
     __slots__ = (
         "_agent_by_endpoint",
-        "_datagrams",
         "_demanded_ms_by_key",
         "_handover",
         "_heard_by_endpoint",
         "_incarnation",
-        "_membership",
         "_parts",
+        "_peers",
         "_sequence",
         "_settings",
         "_told_in_use_by_key",
@@ -60,10 +56,7 @@
         self._parts = parts
         self._handover = handover
         self._incarnation = incarnation
-        own = Contact(vm=settings.vm, address=settings.peers, role="entry", domain=settings.domain)
-        self._membership = Membership(own)
-        self._membership.set_seeds(settings.seeds)
-        self._datagrams = Datagrams(self._hear)
+        self._peers = Peers(settings, ENTRY, hear=self._hear, greet=lambda contact: None)
         self._agent_by_endpoint: dict[str, str] = {}
         self._heard_by_endpoint: dict[str, tuple[str, int]] = {}
         self._demanded_ms_by_key: dict[tuple[str, int], float] = {}
@@ -73,47 +66,31 @@
 
     async def start(self) -> None:
         """Listen."""
-        await self._datagrams.start(self._settings.peers)
+        await self._peers.start()
 
     def close(self) -> None:
         """Stop listening."""
-        self._datagrams.close()
+        self._peers.close()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take other addresses to begin with."""
-        self._membership.set_seeds(seeds)
+        self._peers.set_seeds(seeds)
 
-    def alive(self, role: str) -> Iterable[str]:
-        """Return the VMs of *role* that were heard lately."""
-        return [contact.vm for contact in self._membership.alive(role, monotonic_ms())]
+    def describe(self) -> dict[str, list[str]]:
+        """Return the VMs that were heard lately, by role."""
+        return {
+            role: [contact.vm for contact in self._peers.alive(role)] for role in (ENTRY, AGENT)
+        }
 
     # What other processes tell
 
-    def _hear(self, message: object) -> None:
-        now_ms = monotonic_ms()
-        if isinstance(message, Roster):
-            self._hear_roster(message, now_ms)
-        elif isinstance(message, RelayState):
+    def _hear(self, message: object, now_ms: float) -> None:
+        if isinstance(message, RelayState):
             self._hear_entry(message, now_ms)
         elif isinstance(message, EngineTold):
             self._hear_engine(message, now_ms)
 
-    def _hear_roster(self, message: Roster, now_ms: float) -> None:
-        contacts = [Contact(vm=r[0], address=r[1], role=r[2], domain=r[3]) for r in message.members]
-        self._note_member(contacts[0], now_ms)
-        for contact in contacts[1:]:
-            self._membership.told(contact, now_ms)
-
-    def _note_member(self, contact: Contact, now_ms: float) -> None:
-        if self._membership.heard(contact, now_ms):
-            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
-            self._datagrams.send(self._roster(now_ms), contact.address)
-
     def _hear_entry(self, message: RelayState, now_ms: float) -> None:
-        contact = Contact(
-            vm=message.vm, address=message.address, role="entry", domain=message.domain
-        )
-        self._note_member(contact, now_ms)
         self._handover.compare(message.status, message.table_version, message.announced)
         self._parts.usage.heard(message.vm, message.incarnation, message.granted, now_ms)
         self._parts.crashes.told(message.suspects, now_ms)
@@ -122,10 +99,6 @@
         self._parts.desk.dispatcher.load.told(message.vm, runs, tokens, now_ms)
 
     def _hear_engine(self, message: EngineTold, now_ms: float) -> None:
-        contact = Contact(
-            vm=message.vm, address=message.address, role="agent", domain=message.domain
-        )
-        self._note_member(contact, now_ms)
         known = self._heard_by_endpoint.get(message.endpoint)
         if known is not None and known[0] == message.incarnation and known[1] > message.sequence:
             # A datagram that was overtaken: what it says no longer holds.
@@ -152,12 +125,7 @@
         self._parts.usage.forget_silent(now_ms)
         self._tell_entries(now_ms)
         self._tell_agents(now_ms)
-        for address in self._membership.to_call(now_ms):
-            self._datagrams.send(self._roster(now_ms), address)
-
-    def _roster(self, now_ms: float) -> Roster:
-        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
-        return Roster(members=rows)
+        self._peers.call_silent(now_ms)
 
     def _tell_entries(self, now_ms: float) -> None:
         own = self._parts.desk.dispatcher.load.own()
@@ -165,7 +133,7 @@
         if now_ms - self._told_ms < pause_ms - TICK_MS / 2:
             return
         self._told_ms = now_ms
-        entries = [contact.address for contact in self._membership.alive("entry", now_ms)]
+        entries = [contact.address for contact in self._peers.alive(ENTRY)]
         self._share_retries(len(entries) + 1)
         if not entries:
             return
@@ -184,7 +152,7 @@
             suspects=self._parts.crashes.telling(),
             loads=[[key[0], key[1], runs, tokens] for key, (runs, tokens) in own.items()],
         )
-        self._datagrams.send_to(state, entries)
+        self._peers.send(state, *entries)
 
     def _share_retries(self, entries: int) -> None:
         most = max(1.0, self._settings.retry_slack * RETRY_PART / entries)
@@ -239,4 +207,4 @@
             heard_of=heard_of,
             heard=heard,
         )
-        self._datagrams.send(demand, address)
+        self._peers.send(demand, address)
--- a/src/skylarkrack/relay/_datagrams.py
+++ b/src/skylarkrack/relay/_datagrams.py
@@ -59,12 +59,8 @@
         """Nobody listens there now; membership notices by the silence."""
         self.rejected += 1
 
-    def send(self, message: object, address: str) -> None:
-        """Send a message."""
-        self.send_to(message, (address,))
-
-    def send_to(self, message: object, addresses: tuple[str, ...] | list[str]) -> None:
-        """Send one message to several addresses."""
+    def send_to(self, message: object, addresses: tuple[str, ...]) -> None:
+        """Send one message to several addresses; raises `ValueError` for one that is too large."""
         data = encode_body(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             raise ValueError(f"a datagram of {len(data)} bytes")
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -14,13 +14,12 @@
     Contact,
     EngineOrder,
     EngineReport,
-    Membership,
     PlaceLimits,
     Places,
     Want,
 )
-from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
-from skylarkrack.relay._datagrams import Datagrams
+from skylarkrack.messages import AdapterDemand, EngineTold
+from skylarkrack.relay._peers import AGENT, ENTRY, Peers
 from skylarkrack.relay._registry import EnginePort
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.web import ServerLimits
@@ -41,12 +40,11 @@
     """Reads the engine's reports, orders its adapters, and tells entries what it holds."""
 
     __slots__ = (
-        "_datagrams",
         "_endpoint_id",
         "_engine",
         "_incarnation",
-        "_membership",
         "_metrics",
+        "_peers",
         "_places",
         "_sequence",
         "_settings",
@@ -75,10 +73,7 @@
         self._status = StatusServer(sources, limits=ServerLimits())
         self._tasks = Tasks()
         self._places = Places(fence=fence)
-        own = Contact(vm=settings.vm, address=settings.peers, role="agent", domain=settings.domain)
-        self._membership = Membership(own)
-        self._membership.set_seeds(settings.seeds)
-        self._datagrams = Datagrams(self._hear)
+        self._peers = Peers(settings, AGENT, hear=self._hear, greet=self._greet)
         self._endpoint_id: tuple[int, str] | None = None
         self._sequence = 0
         self._told: tuple | None = None
@@ -87,7 +82,7 @@
 
     async def start(self) -> None:
         """Begin to read the engine's reports and to talk to entries."""
-        await self._datagrams.start(self._settings.peers)
+        await self._peers.start()
         if self._settings.status is not None:
             await self._status.start(self._settings.status)
         self._tasks.spawn(self._run_engine())
@@ -100,7 +95,7 @@
         """Stop."""
         self._tasks.close()
         self._engine.close()
-        self._datagrams.close()
+        self._peers.close()
         await self._status.close()
 
     def describe(self) -> dict[str, object]:
@@ -111,44 +106,26 @@
             "engine": self._settings.engine,
             "endpoint": None if self._endpoint_id is None else self._endpoint_id[1],
             "held": [] if report is None else ["/".join(name) for name in report.resident],
-            "entries": [c.vm for c in self._membership.alive("entry", monotonic_ms())],
+            "entries": [contact.vm for contact in self._peers.alive(ENTRY)],
         }
 
     def settings_changed(self, settings: RelaySettings) -> None:
         """Take what may change while the process runs: the seeds."""
-        self._membership.set_seeds(settings.seeds)
+        self._peers.set_seeds(settings.seeds)
 
     # What entries tell
 
-    def _hear(self, message: object) -> None:
-        now_ms = monotonic_ms()
-        if isinstance(message, Roster):
-            rows = message.members
-            contacts = [Contact(vm=r[0], address=r[1], role=r[2], domain=r[3]) for r in rows]
-            self._note_member(contacts[0], now_ms)
-            for contact in contacts[1:]:
-                self._membership.told(contact, now_ms)
-        elif isinstance(message, AdapterDemand):
+    def _hear(self, message: object, now_ms: float) -> None:
+        if isinstance(message, AdapterDemand):
             self._hear_demand(message, now_ms)
-        elif isinstance(message, RelayState):
-            contact = Contact(
-                vm=message.vm, address=message.address, role="entry", domain=message.domain
-            )
-            self._note_member(contact, now_ms)
 
-    def _note_member(self, contact: Contact, now_ms: float) -> None:
-        if self._membership.heard(contact, now_ms):
-            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
-            if contact.role == "entry":
-                self._datagrams.send(self._roster(now_ms), contact.address)
-                self._told = None
-                self._wake.set()
+    def _greet(self, contact: Contact) -> None:
+        """Tell a new entry at once what the engine holds."""
+        if contact.role == ENTRY:
+            self._told = None
+            self._wake.set()
 
     def _hear_demand(self, message: AdapterDemand, now_ms: float) -> None:
-        contact = Contact(
-            vm=message.vm, address=message.address, role="entry", domain=message.domain
-        )
-        self._note_member(contact, now_ms)
         report = self._places.report
         if report is None or report.started_ms != message.started_ms:
             return
@@ -245,16 +222,9 @@
             spare_places=spare,
         )
         self._places.told(self._sequence)
-        entries = [contact.address for contact in self._membership.alive("entry", now_ms)]
-        self._datagrams.send_to(message, entries)
+        self._peers.send(message, *(contact.address for contact in self._peers.alive(ENTRY)))
 
     async def _keep_membership(self) -> None:
         while True:
-            now_ms = monotonic_ms()
-            for address in self._membership.to_call(now_ms):
-                self._datagrams.send(self._roster(now_ms), address)
+            self._peers.call_silent(monotonic_ms())
             await asyncio.sleep(MEMBERSHIP_MS / 1000)
-
-    def _roster(self, now_ms: float) -> Roster:
-        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
-        return Roster(members=rows)
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -157,8 +157,7 @@
             "table": None if table is None else table.version,
             "announced": self._dispatcher.announced,
             "endpoints": [endpoint.endpoint_id for endpoint in self._dispatcher.directory.all()],
-            "entries": self._conversation.alive("entry"),
-            "agents": self._conversation.alive("agent"),
+            "members": self._conversation.describe(),
             "waiting": self._dispatcher.waiting_count(),
         }
 
--- /dev/null
+++ b/src/skylarkrack/relay/_peers.py
@@ -0,0 +1,99 @@
+"""The other processes of the system: who they are, and datagrams to and from them."""
+
+from collections.abc import Callable
+
+from skylarkrack._clock import monotonic_ms
+from skylarkrack._events import Event, log
+from skylarkrack.core.relay import Contact, Membership
+from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
+from skylarkrack.relay._datagrams import Datagrams
+from skylarkrack.relay._settings import RelaySettings
+
+ENTRY = "entry"
+AGENT = "agent"
+_ROLE_BY_TYPE = {RelayState: ENTRY, AdapterDemand: ENTRY, EngineTold: AGENT}
+
+
+class Peers:
+    """Membership of one process and its socket.
+
+    *hear* is called with each message but rosters, and the time; *greet* with each member that is
+    new or was lost.
+    """
+
+    __slots__ = ("_datagrams", "_greet", "_hear", "_membership", "own")
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        role: str,
+        *,
+        hear: Callable[[object, float], None],
+        greet: Callable[[Contact], None],
+    ) -> None:
+        self.own = Contact(
+            vm=settings.vm, address=settings.peers, role=role, domain=settings.domain
+        )
+        self._hear = hear
+        self._greet = greet
+        self._membership = Membership(self.own)
+        self._membership.set_seeds(settings.seeds)
+        self._datagrams = Datagrams(self._receive)
+
+    # Queries
+
+    def alive(self, role: str) -> list[Contact]:
+        """Return the members of *role* that were heard lately."""
+        return self._membership.alive(role, monotonic_ms())
+
+    # Commands
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._datagrams.start(self.own.address)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._datagrams.close()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other addresses to begin with."""
+        self._membership.set_seeds(seeds)
+
+    def send(self, message: object, *addresses: str) -> None:
+        """Send one message to several addresses."""
+        self._datagrams.send_to(message, addresses)
+
+    def call_silent(self, now_ms: float) -> None:
+        """Call the seeds that are not known yet and the members that were lost."""
+        for address in self._membership.to_call(now_ms):
+            self.send(self._roster(now_ms), address)
+
+    def _receive(self, message: object) -> None:
+        now_ms = monotonic_ms()
+        if isinstance(message, Roster):
+            contacts = [
+                Contact(vm=row[0], address=row[1], role=row[2], domain=row[3])
+                for row in message.members
+            ]
+            self._note(contacts[0], now_ms)
+            for contact in contacts[1:]:
+                self._membership.told(contact, now_ms)
+            return
+        role = _ROLE_BY_TYPE.get(type(message))
+        if role is None:
+            log(Event.DATAGRAM_REJECTED, type=type(message).__name__)
+            return
+        sender = Contact(vm=message.vm, address=message.address, role=role, domain=message.domain)
+        self._note(sender, now_ms)
+        self._hear(message, now_ms)
+
+    def _note(self, contact: Contact, now_ms: float) -> None:
+        if self._membership.heard(contact, now_ms):
+            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
+            self.send(self._roster(now_ms), contact.address)
+            self._greet(contact)
+
+    def _roster(self, now_ms: float) -> Roster:
+        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
+        return Roster(members=rows)
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -110,7 +110,7 @@
         others = [settings(f"n{n}", seed.peers) for n in (2, 3)]
         entries = await self.start(seed, *others)
         for item in entries:
-            await until(lambda item=item: len(item.describe()["entries"]) == 2)
+            await until(lambda item=item: len(item.describe()["members"]["entry"]) == 2)
 
     async def test_a_newer_configuration_comes_from_a_peer(self) -> None:
         seed = settings("n1")
@@ -139,7 +139,7 @@
                 sender.sendto(data, (host, int(port)))
         other = settings("n2", seed.peers)
         await self.start(other)
-        await until(lambda: one.describe()["entries"] == ["n2"])
+        await until(lambda: one.describe()["members"]["entry"] == ["n2"])
 
 
 class TestAgent(unittest.IsolatedAsyncioTestCase):
