--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -71,7 +71,10 @@
 
     __slots__ = (
         "_events",
+        "_first_event_ms",
         "_last",
+        "_last_event_ms",
+        "_longest_gap_ms",
         "_parts",
         "_request",
         "_responder",
@@ -89,6 +92,9 @@
         self._responder = responder
         self.ticket = ticket
         self._events = EventStream() if ticket.route.is_stream else None
+        self._first_event_ms: float | None = None
+        self._last_event_ms = 0.0
+        self._longest_gap_ms = 0.0
         self._last: SendTo | None = None
         self._sends = 0
         self._runs = 0
@@ -332,13 +338,18 @@
         self._ended(response.status)
 
     def _pass_events(self, response: ClientResponse, events: bytes) -> None:
-        if not self._responder.has_started:
+        now_ms = monotonic_ms()
+        if self._responder.has_started:
+            self._longest_gap_ms = max(self._longest_gap_ms, now_ms - self._last_event_ms)
+        else:
             headers = self._parts.dialect.headers_for_caller(response.headers)
             self._responder.start(response.status, headers)
-            waited_ms = monotonic_ms() - self.ticket.call.arrived_ms
+            waited_ms = now_ms - self.ticket.call.arrived_ms
+            self._first_event_ms = waited_ms
             is_soon = waited_ms <= FIRST_TOKEN_OBJECTIVE_MS
-            self._parts.burn.observe("first_token", is_good=is_soon, now_ms=monotonic_ms())
+            self._parts.burn.observe("first_token", is_good=is_soon, now_ms=now_ms)
             self._parts.metrics.observe_ms("first_event_ms", waited_ms, self.ticket.route.name)
+        self._last_event_ms = now_ms
         self._responder.send(events)
         self._parts.metrics.count("events_total")
 
@@ -401,6 +412,9 @@
                 "runs_there": placed.runs,
                 "state_age_ms": None if age_ms is None else round(age_ms),
             }
+        if self._first_event_ms is not None:
+            fields["first_ms"] = round(self._first_event_ms)
+            fields["gap_ms"] = round(self._longest_gap_ms)
         log(
             event,
             request=self.ticket.call.request_id,
