Do not suspect a request that ended well lately of crashing endpoints

Requests with the same organisation, path and body share a fingerprint, so a look-up that is sent all the time is running at every crash; refused, it could never end well and be cleared. Ruled out: load, or sources that changed under the run (the refusals name the code). Change: what ended well within five minutes is no suspect, also when another entry tells of it; a refusal lasts a minute. Test before: refused; after: not.

--- a/src/skylarkrack/core/_suspicion.py
+++ b/src/skylarkrack/core/_suspicion.py
@@ -34,9 +34,10 @@
 class Suspicion:
     """Suspected prompts by fingerprint, as told by the agents that saw the crashes."""
 
-    __slots__ = ("_suspect_by_fingerprint",)
+    __slots__ = ("_quarantine_ms", "_suspect_by_fingerprint")
 
-    def __init__(self) -> None:
+    def __init__(self, *, quarantine_ms: float = QUARANTINE_MS) -> None:
+        self._quarantine_ms = quarantine_ms
         self._suspect_by_fingerprint: dict[bytes, _Suspect] = {}
 
     # Queries
@@ -80,7 +81,7 @@
         if was_alone:
             crash_ids |= {crash_id, _EARLIER_CRASH}
         is_quarantined = len(crash_ids) >= QUARANTINE_CRASHES
-        until_ms = now_ms + (QUARANTINE_MS if is_quarantined else SUSPICION_MS)
+        until_ms = now_ms + (self._quarantine_ms if is_quarantined else SUSPICION_MS)
         self._suspect_by_fingerprint.pop(fingerprint, None)
         suspect = _Suspect(crash_ids=crash_ids, until_ms=until_ms)
         self._suspect_by_fingerprint[fingerprint] = suspect
--- a/src/skylarkrack/core/relay/_crashes.py
+++ b/src/skylarkrack/core/relay/_crashes.py
@@ -2,7 +2,9 @@
 
 A request whose answer was lost is a suspect of that endpoint's crash if the endpoint is then found
 dead: it refuses connections, its registration ends, or it has started anew. All that ran there are
-suspects; only one that is among them at two crashes is refused, and one that ends well is cleared.
+suspects; only one that is among them at two crashes is refused, for a while. A request that ended
+well lately is no suspect: what callers send again and again, such as a look-up, is running
+at every crash.
 """
 
 from collections import OrderedDict
@@ -12,7 +14,14 @@
 LOSS_LIFE_MS = 15_000.0
 """Time in which a death still explains a lost answer; registrations lapse within seconds."""
 
+GOOD_LIFE_MS = 300_000.0
+"""Time for which a request that ended well is no suspect."""
+
+REFUSAL_MS = 60_000.0
+"""Time for which a suspect of two crashes is refused; then it may take one endpoint down again."""
+
 MAX_LOSSES = 1000
+MAX_GOOD = 5000
 
 MAX_TOLD = 30
 """Suspects in one message between entries; the newest."""
@@ -23,10 +32,11 @@
 class Crashes:
     """Lost answers, the endpoints that died of them or with them, and who is refused for it."""
 
-    __slots__ = ("_crashes_by_fingerprint", "_losses", "_suspicion")
+    __slots__ = ("_crashes_by_fingerprint", "_good_ms_by_fingerprint", "_losses", "_suspicion")
 
     def __init__(self) -> None:
-        self._suspicion = Suspicion()
+        self._suspicion = Suspicion(quarantine_ms=REFUSAL_MS)
+        self._good_ms_by_fingerprint: OrderedDict[bytes, float] = OrderedDict()
         self._losses: OrderedDict[tuple[bytes, Key], float] = OrderedDict()
         self._crashes_by_fingerprint: OrderedDict[bytes, set[str]] = OrderedDict()
 
@@ -67,10 +77,17 @@
 
     def ended_well(self, fingerprint: bytes, now_ms: float) -> None:
         """Note that a request was answered whole."""
+        self._good_ms_by_fingerprint[fingerprint] = now_ms
+        self._good_ms_by_fingerprint.move_to_end(fingerprint)
+        if len(self._good_ms_by_fingerprint) > MAX_GOOD:
+            self._good_ms_by_fingerprint.popitem(last=False)
         if self._crashes_by_fingerprint.pop(fingerprint, None) is not None:
             self._suspicion.observe_cleared(fingerprint, now_ms=now_ms)
 
     def _count(self, fingerprint: bytes, crash_id: str, now_ms: float) -> None:
+        good_ms = self._good_ms_by_fingerprint.get(fingerprint)
+        if good_ms is not None and now_ms - good_ms < GOOD_LIFE_MS:
+            return
         self._suspicion.observe_crash(
             crash_id, fingerprint, is_confirmed=True, was_alone=False, now_ms=now_ms
         )
--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -15,6 +15,8 @@
 FORGET_AFTER_MS = 120_000.0
 """A member that is silent for longer is taken for replaced."""
 
+AGENT = "agent"
+
 MAX_TOLD = 40
 """Members told in one message; a window that moves on, so that all are told by and by."""
 
@@ -73,7 +75,7 @@
 
     def heard(self, contact: Contact, now_ms: float) -> bool:
         """Note that a process was heard; tell whether it is new or was lost."""
-        if contact.address == self._own.address:
+        if contact.address == self._own.address or contact.role == self._own.role == AGENT:
             return False
         member = self._by_address.get(contact.address)
         is_news = member is None or not member.ever_heard
@@ -82,7 +84,9 @@
         return is_news
 
     def told(self, contact: Contact, now_ms: float) -> None:
-        """Note a process that another one has told of."""
+        """Note a process that another one has told of; agents have nothing to tell each other."""
+        if contact.role == self._own.role == AGENT:
+            return
         if contact.address != self._own.address and contact.address not in self._by_address:
             self._by_address[contact.address] = _Member(contact, now_ms)
 
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -3,6 +3,7 @@
 import unittest
 
 from skylarkrack.core.relay import Crashes
+from skylarkrack.core.relay._crashes import REFUSAL_MS
 from standins.platform_worker import PlatformWorker, Received, answer
 from tests.platform_builders import Rig, request
 from tests.test_relay_path import PathTest, status_of
@@ -43,6 +44,29 @@
         self.crashes.died(TWO, 2.0)
         self.assertFalse(self.crashes.is_refused(GOOD, 2.0))
 
+    def test_one_that_is_sent_again_and_again_is_no_suspect(self) -> None:
+        self.crashes.ended_well(GOOD, 0.0)
+        for number, key in enumerate((ONE, TWO, THREE)):
+            self.crashes.lost(GOOD, key, float(number))
+            self.crashes.died(key, float(number))
+        self.assertFalse(self.crashes.is_refused(GOOD, 3.0))
+
+    def test_another_entrys_suspect_that_ended_well_here(self) -> None:
+        other = Crashes()
+        for key in (ONE, TWO):
+            other.lost(GOOD, key, 0.0)
+            other.died(key, 0.0)
+        self.crashes.ended_well(GOOD, 0.0)
+        self.crashes.told(other.telling(), 1.0)
+        self.assertFalse(self.crashes.is_refused(GOOD, 1.0))
+
+    def test_the_refusal_ends(self) -> None:
+        for key in (ONE, TWO):
+            self.crashes.lost(BAD, key, 0.0)
+            self.crashes.died(key, 0.0)
+        self.assertTrue(self.crashes.is_refused(BAD, REFUSAL_MS - 1))
+        self.assertFalse(self.crashes.is_refused(BAD, REFUSAL_MS))
+
     def test_two_entries_add_up_and_one_crash_counts_once(self) -> None:
         other = Crashes()
         for crashes, key in ((self.crashes, ONE), (other, TWO)):
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -214,6 +214,13 @@
         self.assertEqual(self.membership.to_call(0.0), ["b:1"])
         self.assertEqual(self.membership.telling(0.0), [self.own])
 
+    def test_agents_do_not_call_each_other(self) -> None:
+        one, two = (Contact(vm=n, address=f"{n}:1", role="agent", domain="x") for n in "pq")
+        membership = Membership(one)
+        membership.told(two, 0.0)
+        self.assertFalse(membership.heard(two, 0.0))
+        self.assertEqual(membership.to_call(5000.0), [])
+
     def test_a_member_that_is_gone_for_long_is_forgotten(self) -> None:
         self.membership.heard(self.other, 0.0)
         self.assertEqual(self.membership.to_call(200_000.0), [])
