Give an engine no more prompts at once than it reads between two events; tell peers less

Six steps lie between two events; when each also reads a piece of waiting prompts (53 ms), the running streams pause for over 300 ms. Ruled out: the first event (3 of 111), waits for adapters (none above 500 ms in those seconds), full batches (runs there were 0 to 26 of 32). Change: prompts sent to one engine by all entries within 300 ms are added up; beyond what it reads in that time a request waits some ms or goes elsewhere. Replayed in tests/test_relay_policy.py. And: on the grown sites 0.289 GB went between failure domains, about half of it states told by 22 entries to each other. Endpoints are told by a digest, grants when they changed, and more entries tell less often. Registrations are gathered for 800 ms.

--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -1,8 +1,11 @@
 """How much work is under way at each endpoint: this entry's own, and what others told."""
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
+READING_WINDOW_MS = 300.0
+"""Time over which prompts sent to one engine are added up: the pause that streams may have."""
+
 LOAD_LIFE_MS = 1500.0
 """What an entry told is dropped after this; it tells ten times a second while it works."""
 
@@ -28,16 +31,18 @@
     received_ms: float
     runs_by_key: dict[Key, int] = field(default_factory=dict)
     tokens_by_key: dict[Key, int] = field(default_factory=dict)
+    prompts_by_key: dict[Key, int] = field(default_factory=dict)
 
 
 class Load:
     """Runs and tokens under way by endpoint incarnation, over all entries."""
 
-    __slots__ = ("_adapters", "_runs", "_tokens", "_told_by_entry")
+    __slots__ = ("_adapters", "_prompts", "_runs", "_tokens", "_told_by_entry")
 
     def __init__(self) -> None:
         self._runs: Counter[Key] = Counter()
         self._tokens: Counter[Key] = Counter()
+        self._prompts: dict[Key, deque[tuple[float, int]]] = {}
         self._adapters: Counter[tuple[Key, str, str]] = Counter()
         self._told_by_entry: dict[str, _Told] = {}
 
@@ -53,6 +58,23 @@
             told.tokens_by_key.get(key, 0) for told in self._fresh(now_ms)
         )
 
+    def prompts(self, key: Key, now_ms: float) -> int:
+        """Return the prompt tokens that all entries sent to an engine within the window."""
+        return self.own_prompts(key, now_ms) + sum(
+            told.prompts_by_key.get(key, 0)
+            for told in self._told_by_entry.values()
+            if now_ms - told.received_ms < READING_WINDOW_MS
+        )
+
+    def own_prompts(self, key: Key, now_ms: float) -> int:
+        """Return the prompt tokens that this entry sent to an engine within the window."""
+        sent = self._prompts.get(key)
+        if sent is None:
+            return 0
+        while sent and sent[0][0] <= now_ms - READING_WINDOW_MS:
+            sent.popleft()
+        return sum(tokens for _, tokens in sent)
+
     def own(self) -> dict[Key, tuple[int, int]]:
         """Return this entry's runs and tokens by endpoint."""
         return {key: (count, self._tokens[key]) for key, count in self._runs.items() if count}
@@ -74,6 +96,10 @@
         if model:
             self._adapters[key, model, adapter] += 1
 
+    def sent_prompt(self, key: Key, tokens: int, now_ms: float) -> None:
+        """Note that an engine begins to read a prompt."""
+        self._prompts.setdefault(key, deque()).append((now_ms, tokens))
+
     def ended(self, key: Key, *, tokens: int, model: str = "", adapter: str = "") -> None:
         """Count the end of a run."""
         self._lower(self._runs, key, 1)
@@ -81,9 +107,17 @@
         if model:
             self._lower(self._adapters, (key, model, adapter), 1)
 
-    def told(self, entry: str, runs: dict[Key, int], tokens: dict[Key, int], now_ms: float) -> None:
-        """Take another entry's work under way."""
-        self._told_by_entry[entry] = _Told(now_ms, runs, tokens)
+    def told(
+        self,
+        entry: str,
+        *,
+        runs: dict[Key, int],
+        tokens: dict[Key, int],
+        prompts: dict[Key, int],
+        now_ms: float,
+    ) -> None:
+        """Take another entry's work under way, and the prompts that it just sent."""
+        self._told_by_entry[entry] = _Told(now_ms, runs, tokens, prompts)
 
     def _fresh(self, now_ms: float) -> list[_Told]:
         return [
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -12,7 +12,7 @@
 from skylarkrack.core.relay._call import ModelNeed
 from skylarkrack.core.relay._directory import Endpoint
 from skylarkrack.core.relay._health import Health
-from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load
 from skylarkrack.core.relay._table import Service
 
 COLD_LOAD_MS = 300.0
@@ -36,6 +36,13 @@
 QUEUED_RUN_MS = 60.0
 """Wait for a place in a full batch, for each run that is ahead."""
 
+READ_TOKENS_PER_MS = 28.0
+"""Prompt tokens that an engine reads in a ms; the slower of the users' two kinds reads 29.4."""
+
+READING_LIMIT = 0.9 * READ_TOKENS_PER_MS * READING_WINDOW_MS
+"""Prompt tokens sent to one engine within the window. Between two events of a stream lie several
+steps, each with a piece of the prompts being read: with more, streams pause for too long."""
+
 FAILURE_MS = 1500.0
 """Cost of a request that fails, times the failure ratio."""
 
@@ -144,6 +151,10 @@
     if beliefs.load.tokens(key, beliefs.now_ms) + need.tokens > MEMORY_PART * shape.cache_tokens:
         cost_ms += FULL_BATCH_MS
         is_ready = is_ready and runs == 0
+    reading = beliefs.load.prompts(key, beliefs.now_ms)
+    if reading and reading + need.prompt_tokens > READING_LIMIT:
+        cost_ms += (reading + need.prompt_tokens - READING_LIMIT) / READ_TOKENS_PER_MS
+        is_ready = False
     if beliefs.health.is_paused(key, beliefs.now_ms):
         cost_ms += PAUSED_MS
         is_ready = False
--- a/src/skylarkrack/core/relay/_usage.py
+++ b/src/skylarkrack/core/relay/_usage.py
@@ -55,6 +55,7 @@
 class _Peer:
     incarnation: str
     heard_ms: float
+    is_complete: bool
     granted_by_organisation: dict[str, float] = field(default_factory=dict)
 
 
@@ -103,17 +104,31 @@
         level.level = min(level.quota.burst, level.level + amount)
         self._granted_by_organisation[organisation] -= amount
 
-    def heard(self, peer: str, incarnation: str, granted: dict[str, float], now_ms: float) -> None:
-        """Take what another entry has granted since its start."""
+    def heard(
+        self,
+        peer: str,
+        incarnation: str,
+        granted: dict[str, float],
+        *,
+        is_complete: bool = True,
+        now_ms: float,
+    ) -> None:
+        """Take what another entry has granted since its start.
+
+        What an incomplete telling leaves out is unchanged. Totals of a peer that was unknown are
+        where the count begins, up to its first complete telling: they may be from long ago.
+        """
         known = self._peer_by_name.get(peer)
-        before: dict[str, float] = {}
-        if known is not None and known.incarnation == incarnation:
-            before = known.granted_by_organisation
+        is_restart = known is not None and known.incarnation != incarnation
+        before = {} if known is None or is_restart else known.granted_by_organisation
+        is_counted = is_restart or (known is not None and known.is_complete)
         for organisation, total in granted.items():
             level = self._level_by_organisation.get(organisation)
-            if level is not None and known is not None:
+            if level is not None and (is_counted or organisation in before):
                 level.settle(peer, total - before.get(organisation, 0.0))
-        self._peer_by_name[peer] = _Peer(incarnation, now_ms, granted)
+        self._peer_by_name[peer] = _Peer(
+            incarnation, now_ms, is_counted or is_complete, before | granted
+        )
 
     def forget_silent(self, now_ms: float) -> None:
         """Drop the entries that have been silent too long to be alive."""
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -301,9 +301,10 @@
 class RelayState:
     """What a relaying entry tells other entries, in a datagram.
 
-    *granted* holds the tokens granted since the start by organisation; *loads* rows of
-    [endpoint address, its start, runs, tokens]. *table_version* is the configuration in force and
-    *announced* the sum of the adapters' versions: who holds less asks at *status* for the rest.
+    *granted* holds the tokens granted since the start by organisation: all where *is_complete*,
+    else those that changed lately. *loads* holds rows of [endpoint's digest, runs, tokens, prompt
+    tokens just sent]. *table_version* is the configuration in force and *announced* the sum of the
+    adapters' versions: who holds less asks at *status* for the rest.
     *suspects* holds rows of [request's fingerprint, crashes of endpoints that it ran at].
     """
 
@@ -316,6 +317,7 @@
     table_version: int
     announced: int
     granted: dict
+    is_complete: bool
     loads: list
     suspects: list
 
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -24,7 +24,7 @@
 RETRY_MS = 150
 """Pause after a call that failed; the fleet's calls to a store that is busy stay few."""
 
-GATHER_MS = 400
+GATHER_MS = 800
 """Pause between watches of the registrations: each endpoint changes its own every second, and a
 call for each change would be a hundred a second over the fleet. A leaving endpoint has to be known
 within two seconds."""
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -1,5 +1,7 @@
 """What an entry tells other entries and agents, and what it hears from them."""
 
+import zlib
+
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import Endpoint, EngineHeard, EngineState
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState
@@ -17,6 +19,12 @@
 IDLE_TELL_MS = 400.0
 """The same without requests; below the age at which a peer's state is dropped."""
 
+TELL_ALL_MS = 2000.0
+"""Time between tellings of every organisation's grants; a lost datagram is made good by then."""
+
+ENTRIES_AT_FULL_PACE = 10
+"""With more entries each tells less often: what one hears grows slower than their number."""
+
 DEMAND_MS = 250.0
 """Time between demands told to an agent whose engine has runs of this entry."""
 
@@ -40,6 +48,8 @@
         "_peers",
         "_sequence",
         "_settings",
+        "_told_all_ms",
+        "_told_granted",
         "_told_in_use_by_key",
         "_told_ms",
     )
@@ -63,6 +73,8 @@
         self._told_in_use_by_key: dict[tuple[str, int], frozenset] = {}
         self._sequence = 0
         self._told_ms = 0.0
+        self._told_all_ms = float("-inf")
+        self._told_granted: dict[str, float] = {}
 
     async def start(self) -> None:
         """Listen."""
@@ -92,11 +104,28 @@
 
     def _hear_entry(self, message: RelayState, now_ms: float) -> None:
         self._handover.compare(message.status, message.table_version, message.announced)
-        self._parts.usage.heard(message.vm, message.incarnation, message.granted, now_ms)
+        self._parts.usage.heard(
+            message.vm,
+            message.incarnation,
+            message.granted,
+            is_complete=message.is_complete,
+            now_ms=now_ms,
+        )
         self._parts.crashes.told(message.suspects, now_ms)
-        runs = {(row[0], row[1]): row[2] for row in message.loads}
-        tokens = {(row[0], row[1]): row[3] for row in message.loads}
-        self._parts.desk.dispatcher.load.told(message.vm, runs, tokens, now_ms)
+        key_by_digest = self._key_by_digest()
+        rows = [(key_by_digest.get(row[0]), *row[1:]) for row in message.loads]
+        known = [row for row in rows if row[0] is not None]
+        self._parts.desk.dispatcher.load.told(
+            message.vm,
+            runs={row[0]: row[1] for row in known},
+            tokens={row[0]: row[2] for row in known},
+            prompts={row[0]: row[3] for row in known},
+            now_ms=now_ms,
+        )
+
+    def _key_by_digest(self) -> dict[int, tuple[str, int]]:
+        endpoints = self._parts.desk.dispatcher.directory.all()
+        return {_digest_of(endpoint.key): endpoint.key for endpoint in endpoints}
 
     def _hear_engine(self, message: EngineTold, now_ms: float) -> None:
         known = self._heard_by_endpoint.get(message.endpoint)
@@ -128,17 +157,20 @@
         self._peers.call_silent(now_ms)
 
     def _tell_entries(self, now_ms: float) -> None:
-        own = self._parts.desk.dispatcher.load.own()
-        pause_ms = BUSY_TELL_MS if own else IDLE_TELL_MS
+        load = self._parts.desk.dispatcher.load
+        own = load.own()
+        entries = [contact.address for contact in self._peers.alive(ENTRY)]
+        pace = max(1.0, len(entries) / ENTRIES_AT_FULL_PACE)
+        pause_ms = min(IDLE_TELL_MS, BUSY_TELL_MS * pace) if own else IDLE_TELL_MS
         if now_ms - self._told_ms < pause_ms - TICK_MS / 2:
             return
         self._told_ms = now_ms
-        entries = [contact.address for contact in self._peers.alive(ENTRY)]
         self._share_retries(len(entries) + 1)
         if not entries:
             return
         self._sequence += 1
         table = self._parts.desk.dispatcher.table
+        granted, is_complete = self._granted_to_tell(now_ms)
         state = RelayState(
             vm=self._settings.vm,
             address=self._settings.peers,
@@ -148,12 +180,25 @@
             status=self._settings.status or "",
             table_version=0 if table is None else table.version,
             announced=self._parts.desk.dispatcher.announced,
-            granted=self._parts.usage.granted(),
+            granted=granted,
+            is_complete=is_complete,
             suspects=self._parts.crashes.telling(),
-            loads=[[key[0], key[1], runs, tokens] for key, (runs, tokens) in own.items()],
+            loads=[
+                [_digest_of(key), runs, tokens, load.own_prompts(key, now_ms)]
+                for key, (runs, tokens) in own.items()
+            ],
         )
         self._peers.send(state, *entries)
 
+    def _granted_to_tell(self, now_ms: float) -> tuple[dict[str, float], bool]:
+        """Return what changed since all was told last, or all if that was long ago."""
+        granted = self._parts.usage.granted()
+        if now_ms - self._told_all_ms >= TELL_ALL_MS:
+            self._told_all_ms, self._told_granted = now_ms, granted
+            return granted, True
+        changed = {name: n for name, n in granted.items() if n != self._told_granted.get(name)}
+        return changed, False
+
     def _share_retries(self, entries: int) -> None:
         most = max(1.0, self._settings.retry_slack * RETRY_PART / entries)
         for budget in self._parts.retries_by_service.values():
@@ -208,3 +253,8 @@
             heard=heard,
         )
         self._peers.send(demand, address)
+
+
+def _digest_of(key: tuple[str, int]) -> int:
+    """Return a short name of an endpoint's incarnation, the same at all entries."""
+    return zlib.crc32(f"{key[0]}/{key[1]}".encode())
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -176,6 +176,8 @@
         adapter = "" if need is None else need.adapter or ""
         load = self._parts.desk.dispatcher.load
         load.began(endpoint.key, tokens=tokens, model=model, adapter=adapter)
+        if need is not None:
+            load.sent_prompt(endpoint.key, need.prompt_tokens, monotonic_ms())
         try:
             response = await self._send(placed)
             try:
--- /dev/null
+++ b/tests/test_relay_policy.py
@@ -0,0 +1,124 @@
+"""The loads that the policy answers, replayed on the decisions alone."""
+
+import random
+import unittest
+from collections import defaultdict
+from dataclasses import replace
+
+from skylarkrack.core.relay import (
+    Dispatcher,
+    EngineHeard,
+    SendTo,
+    Service,
+    TablePublished,
+    Ticket,
+    TurnAway,
+    WaitFor,
+)
+from skylarkrack.core.relay._load import READING_WINDOW_MS
+from skylarkrack.core.relay._placement import READING_LIMIT
+from tests.relay_builders import dispatcher, endpoint, engine_shape, need, state, table, ticket
+
+STEP_MS = 25.0
+
+
+class Replay:
+    """Arrivals at one entry; each run lasts a while at its engine."""
+
+    def __init__(self, found: Dispatcher, *, run_ms: float) -> None:
+        self.found = found
+        self.run_ms = run_ms
+        self.sent: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.waits: list[float] = []
+        self.refused = 0
+        self._ends: list[tuple[float, Ticket, tuple]] = []
+
+    def arrive(self, item: Ticket, now_ms: float) -> None:
+        """Take an arrival."""
+        self._settle(item, self.found.decide(item, now_ms), now_ms)
+
+    def step(self, now_ms: float) -> None:
+        """End the runs that are due, and send what can be sent now."""
+        for row in [row for row in self._ends if row[0] <= now_ms]:
+            self._ends.remove(row)
+            self.found.load.ended(row[2], tokens=row[1].need.tokens)
+        while (ready := self.found.next_ready(now_ms)) is not None:
+            self._settle(*ready, now_ms)
+
+    def most_read(self) -> int:
+        """Return the most prompt tokens that one engine got within the window."""
+        most = 0
+        for rows in self.sent.values():
+            for start_ms, _ in rows:
+                end_ms = start_ms + READING_WINDOW_MS
+                most = max(most, sum(t for at, t in rows if start_ms <= at < end_ms))
+        return most
+
+    def _settle(self, item: Ticket, decision: object, now_ms: float) -> None:
+        if isinstance(decision, WaitFor):
+            self.found.wait(item, decision)
+        elif isinstance(decision, TurnAway):
+            self.refused += 1
+        elif isinstance(decision, SendTo):
+            key, tokens = decision.endpoint.key, item.need.prompt_tokens
+            self.found.load.began(key, tokens=item.need.tokens)
+            self.found.load.sent_prompt(key, tokens, now_ms)
+            self.sent[decision.endpoint.endpoint_id].append((now_ms, tokens))
+            self.waits.append(now_ms - item.call.arrived_ms)
+            self._ends.append((now_ms + self.run_ms, item, key))
+
+
+def arrival(number: int, now_ms: float, *, prompt: int, adapter: str = "a1") -> Ticket:
+    """Return a request that arrives at *now_ms*."""
+    base = ticket(f"r{number}", adapter, ends_ms=now_ms + 12_000.0)
+    asked = need(adapter, prompt_tokens=prompt, output_tokens=50)
+    base.call = replace(base.call, arrived_ms=now_ms, need=asked)
+    return base
+
+
+def hear(found: Dispatcher, engines: list, now_ms: float) -> None:
+    """Let every engine's agent tell that the adapter is held."""
+    for engine in engines:
+        found.observe(EngineHeard(key=engine.key, state=state(now_ms, "a1")))
+
+
+class TestClumpsOfPrompts(unittest.TestCase):
+    """Many long prompts at once, for one popular adapter: running streams must not pause."""
+
+    def test_an_engine_is_not_given_more_than_it_reads_between_two_events(self) -> None:
+        chance = random.Random(7)
+        engines = [endpoint(f"e{n}", slots=32) for n in (1, 2, 3)]
+        found = dispatcher(*engines, states=tuple(state(0.0, "a1") for _ in engines))
+        shape = engine_shape(slots=32, cache_tokens=120_000)
+        roomy = Service(name="engines", max_connections=250, engine=shape)
+        found.observe(TablePublished(table=table(2, service_by_name={"engines": roomy})))
+        replay, now_ms, number = Replay(found, run_ms=1500.0), 0.0, 0
+        while now_ms < 3000.0:
+            hear(found, engines, now_ms)
+            for _ in range(chance.choice((0, 0, 1, 6))):
+                number += 1
+                prompt = min(3300, int(chance.expovariate(1 / 1200)) + 100)
+                replay.arrive(arrival(number, now_ms, prompt=prompt), now_ms)
+            replay.step(now_ms)
+            now_ms += STEP_MS
+        while found.waiting_count() and now_ms < 6000.0:
+            hear(found, engines, now_ms)
+            replay.step(now_ms)
+            now_ms += STEP_MS
+        self.assertLessEqual(replay.most_read(), READING_LIMIT)
+        self.assertEqual(replay.refused, 0)
+        self.assertEqual(len(replay.waits), number)
+
+    def test_a_prompt_larger_than_the_limit_is_sent_when_nothing_is_read(self) -> None:
+        found = dispatcher(endpoint("e1"), states=(state(0.0, "a1"),))
+        decision = found.decide(arrival(1, 0.0, prompt=int(READING_LIMIT) + 1), 0.0)
+        self.assertIsInstance(decision, SendTo)
+
+    def test_what_others_just_sent_counts(self) -> None:
+        one = endpoint("e1")
+        found = dispatcher(one, states=(state(0.0, "a1"),))
+        prompts = {one.key: int(READING_LIMIT)}
+        found.load.told("n2", runs={}, tokens={}, prompts=prompts, now_ms=0.0)
+        self.assertIsInstance(found.decide(arrival(1, 0.0, prompt=100), 0.0), WaitFor)
+        later_ms = READING_WINDOW_MS
+        self.assertIsInstance(found.decide(arrival(1, 0.0, prompt=100), later_ms), SendTo)
