Believe an engine that denies what its registration says; leave an address that another endpoint has

A 421 that names another endpoint was taken for a missing adapter. Change: what an engine denied is not tried there until its agent tells; another endpoint at the address is an unreachable one. Tests fail before: the first sends again at once, the second sees the endpoint five times.

--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -121,6 +121,7 @@
     """What an entry believes of the fleet, the requests that wait, and where they go."""
 
     __slots__ = (
+        "_denied_by_key",
         "_kept_by_address",
         "_state_by_key",
         "_version_by_adapter",
@@ -138,6 +139,7 @@
         self.directory = Directory()
         self.health = Health()
         self.load = Load()
+        self._denied_by_key: dict[Key, set[tuple[str, str]]] = {}
         self._kept_by_address: dict[str, dict[tuple[str, str], None]] = {}
         self._state_by_key: dict[Key, EngineState] = {}
         self._version_by_adapter: dict[tuple[str, str], int] = {}
@@ -220,6 +222,7 @@
     def _(self, event: EngineHeard) -> bool:
         before = self._state_by_key.get(event.key)
         self._state_by_key[event.key] = event.state
+        self._denied_by_key.pop(event.key, None)
         self._note_kept(event.key[0], event.state)
         return before is None or before.resident != event.state.resident
 
@@ -246,17 +249,21 @@
         return None
 
     def missing(self, key: Key, need: ModelNeed) -> None:
-        """Take an engine's word that it does not hold the adapter."""
+        """Take an engine's word that it does not hold the adapter, until its agent tells again."""
+        name = (need.model, need.adapter or "")
         state = self._state_by_key.get(key)
-        if state is not None:
-            state.resident.pop((need.model, need.adapter or ""), None)
+        if state is None:
+            self._denied_by_key.setdefault(key, set()).add(name)
+        else:
+            state.resident.pop(name, None)
 
     def forget_gone(self) -> None:
         """Drop what is known of incarnations that are gone."""
         keys = {endpoint.key for endpoint in self.directory.all()}
         self.health.keep_only(keys)
-        for key in set(self._state_by_key) - keys:
-            del self._state_by_key[key]
+        for by_key in (self._state_by_key, self._denied_by_key):
+            for key in set(by_key) - keys:
+                del by_key[key]
 
     def _note_kept(self, address: str, state: EngineState) -> None:
         """Note what the engine holds: it keeps a copy of it for some time, also over a restart."""
@@ -278,6 +285,7 @@
             load=self.load,
             state_by_key=self._state_by_key,
             version_by_adapter=self._version_by_adapter,
+            denied_by_key=self._denied_by_key,
             kept_by_address=self._kept_by_address,
             wanted_by_key=wanted,
             domain=self.domain,
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -92,6 +92,7 @@
     load: Load
     state_by_key: dict[tuple[str, int], EngineState]
     version_by_adapter: dict[tuple[str, str], int]
+    denied_by_key: dict[tuple[str, int], set[tuple[str, str]]]
     kept_by_address: dict[str, dict[tuple[str, str], None]]
     wanted_by_key: dict[tuple[str, int], set[tuple[str, str]]]
     domain: str
@@ -174,7 +175,8 @@
     newest = beliefs.version_by_adapter.get(name, 0) if need.adapter else 0
     state = beliefs.state_by_key.get(endpoint.key)
     if state is None or beliefs.now_ms - state.received_ms > STATE_LIFE_MS:
-        held = _registered(endpoint, need)
+        is_denied = name in beliefs.denied_by_key.get(endpoint.key, ())
+        held = None if is_denied else _registered(endpoint, need)
         return (held, 0.0) if held is not None and held >= newest else (None, NO_AGENT_MS)
     held = state.resident.get(name)
     if held is not None and held >= newest:
--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -20,6 +20,8 @@
 _NOT_RUN = b"x-not-executed"
 
 _ENDPOINT_ID = b"x-expect-instance"
+# The id of the endpoint that answers, in refusals of what was meant for another one.
+_SHOWN_ID = b"x-instance-id"
 _ORGANISATION = b"x-tenant"
 _URGENCY = b"x-request-urgency"
 # Of an adapter where the request names one, else of the model's weights.
@@ -119,9 +121,11 @@
         answered = _value(headers, _REQUEST_ID)
         return answered is None or answered == request_id
 
-    def verdict_of(self, status: int, headers: Headers) -> Verdict:
-        """Return what an answer's head says."""
+    def verdict_of(self, status: int, headers: Headers, endpoint_id: str) -> Verdict:
+        """Return what the head of an answer says that was expected of *endpoint_id*."""
         is_misdirected = status == _MISDIRECTED
+        shown_id = _value(headers, _SHOWN_ID)
+        is_another = is_misdirected and shown_id not in (None, endpoint_id)
         has_word = _value(headers, _NOT_RUN) is not None and status in _REFUSING
         is_encoded = _value(headers, b"content-encoding") is not None
         is_answer = _value(headers, _REQUEST_ID) is not None
@@ -129,7 +133,8 @@
         return Verdict(
             was_not_run=is_misdirected or has_word,
             is_proven=has_proof and is_answer and not is_encoded,
-            lacks_adapter=is_misdirected,
+            lacks_adapter=is_misdirected and not is_another,
+            is_another=is_another,
         )
 
     def headers_for_caller(self, headers: Headers) -> Headers:
--- a/src/skylarkrack/relay/_dialect.py
+++ b/src/skylarkrack/relay/_dialect.py
@@ -35,12 +35,13 @@
 
     *was_not_run* is the endpoint's word that it did not and will not run the request. *is_proven*
     tells that the endpoint vouches for the answer. *lacks_adapter*: it does not hold the adapter
-    or the version, or is another endpoint than the one meant.
+    or the version. *is_another*: another endpoint, or another start of it, has the address now.
     """
 
     was_not_run: bool
     is_proven: bool
     lacks_adapter: bool
+    is_another: bool
 
 
 class Dialect(Protocol):
@@ -58,8 +59,8 @@
     def is_answer_to(self, request_id: str, headers: Headers) -> bool:
         """Tell whether an answer belongs to the request and not to an earlier one."""
 
-    def verdict_of(self, status: int, headers: Headers) -> Verdict:
-        """Return what an answer's head says."""
+    def verdict_of(self, status: int, headers: Headers, endpoint_id: str) -> Verdict:
+        """Return what the head of an answer says that was expected of *endpoint_id*."""
 
     def headers_for_caller(self, headers: Headers) -> Headers:
         """Return the headers of an answer that go on to the caller."""
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -241,7 +241,9 @@
 
     async def _take_answer(self, response: ClientResponse, placed: SendTo) -> None:
         endpoint = placed.endpoint
-        verdict = self._parts.dialect.verdict_of(response.status, response.headers)
+        verdict = self._parts.dialect.verdict_of(
+            response.status, response.headers, endpoint.endpoint_id
+        )
         if verdict.was_not_run:
             await self._turned_away(response, endpoint, verdict)
         is_good = response.status < _SERVER_ERROR
@@ -262,7 +264,11 @@
         except LinkLost:
             # Only the connection is lost; the head has said all that matters.
             response.close()
-        if verdict.lacks_adapter:
+        if verdict.is_another:
+            now_ms = monotonic_ms()
+            dispatcher.health.unreachable(endpoint.key, now_ms)
+            self._parts.crashes.died(endpoint.key, now_ms)
+        elif verdict.lacks_adapter:
             if self.ticket.need is not None:
                 dispatcher.missing(endpoint.key, self.ticket.need)
         else:
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -87,6 +87,14 @@
         found.missing(one.key, need("a1"))
         self.assertIsInstance(found.decide(ticket(), 0.0), WaitFor)
 
+    def test_a_registration_that_the_engine_denies(self) -> None:
+        one = endpoint("e1", adapters_by_model={MODEL: {"a1": 1}})
+        found = dispatcher(one)
+        found.missing(one.key, need("a1"))
+        self.assertIsInstance(found.decide(ticket(), 0.0), WaitFor)
+        found.observe(EngineHeard(key=one.key, state=state(1.0, "a1")))
+        self.assertIsInstance(found.decide(ticket(), 1.0), SendTo)
+
     def test_an_engine_whose_agent_is_silent_serves_what_it_holds(self) -> None:
         one = endpoint("e1", adapters_by_model={MODEL: {"a1": 1}})
         found = dispatcher(one)
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -132,6 +132,24 @@
                 self.assertEqual(status_of(got), status)
                 self.assertEqual(b"retry-after" in got, status == 503)
 
+    async def test_an_address_that_another_endpoint_has_now(self) -> None:
+        other = "HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+
+        async def misdirected(seen: object, writer: asyncio.StreamWriter) -> bool:
+            writer.write(other.encode())
+            return True
+
+        gone, there = PlatformWorker([misdirected]), PlatformWorker([answer()])
+        async with Rig(gone, there) as rig:
+            statuses = [
+                status_of(
+                    await rig.ask(request("/pay/1", method="POST", body=b"f", request_id=f"r{n}"))
+                )
+                for n in range(5)
+            ]
+        self.assertEqual(statuses, [200] * 5)
+        self.assertLessEqual(len(gone.received), 1)
+
     async def test_an_endpoint_that_cannot_be_reached(self) -> None:
         gone, there = PlatformWorker([answer()]), PlatformWorker([answer()])
         async with Rig(gone, there) as rig:
