--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -5,6 +5,7 @@
 
 from standins.platform_worker import (
     PlatformWorker,
+    Reply,
     answer,
     both,
     refusal,
@@ -325,6 +326,31 @@
         self.assertEqual(rest, b"done")
         self.assertEqual(len(worker.received), 1)
 
+    async def test_no_request_is_taken_after_a_stream_that_had_begun_before(self) -> None:
+        go_on = asyncio.Event()
+        worker = PlatformWorker([two_parts(go_on)])
+        async with Rig(worker, service="llm") as rig:
+            reader, writer = await rig.connect()
+            writer.write(model_request().replace(b"Connection: close\r\n", b""))
+            await reader.readuntil(EVENTS[0])
+            rig.entry.announce_close()
+            go_on.set()
+            rest = await asyncio.wait_for(reader.read(-1), 2)
+            writer.close()
+        self.assertTrue(is_whole(rest))
+
+
+def two_parts(go_on: asyncio.Event) -> Reply:
+    """Return a stream whose second event and end come once *go_on* is set."""
+
+    async def reply(seen: object, writer: asyncio.StreamWriter) -> bool:
+        await stream(EVENTS[0], ends=False)(seen, writer)
+        await go_on.wait()
+        writer.write(f"{len(EVENTS[1]):x}\r\n".encode() + EVENTS[1] + b"\r\n0\r\n\r\n")
+        return True
+
+    return reply
+
 
 class TestWithdrawnKeys(PathTest):
     """A key that is withdrawn stops working for a caller that is still connected."""
@@ -333,13 +359,7 @@
         """Withdraw the key while a stream runs; return the stream and the next answer."""
         go_on = asyncio.Event()
 
-        async def two_parts(seen: object, writer: asyncio.StreamWriter) -> bool:
-            await stream(EVENTS[0], ends=False)(seen, writer)
-            await go_on.wait()
-            writer.write(f"{len(EVENTS[1]):x}\r\n".encode() + EVENTS[1] + b"\r\n0\r\n\r\n")
-            return True
-
-        worker = PlatformWorker([two_parts])
+        worker = PlatformWorker([two_parts(go_on)])
         async with Rig(worker, service="llm", cuts_withdrawn=cuts) as rig:
             reader, writer = await rig.connect()
             writer.write(model_request())
