--- a/src/skylarkrack/core/relay/_places.py
+++ b/src/skylarkrack/core/relay/_places.py
@@ -119,7 +119,6 @@
 class _Pending:
     order: EngineOrder
     until_ms: float
-    is_answered: bool = False
 
 
 class Places:
@@ -246,7 +245,6 @@
         pending = self._pending
         if pending is None:
             return
-        pending.is_answered = result is not OrderResult.UNKNOWN
         if result in (OrderResult.CONFLICT, OrderResult.FENCED, OrderResult.REJECTED):
             self._pending = None
             self._paused_until_ms = now_ms + CONFLICT_PAUSE_MS
