--- a/src/skylarkrack/relay/_desk.py
+++ b/src/skylarkrack/relay/_desk.py
@@ -1,6 +1,7 @@
 """Lets requests wait for what the dispatcher decides, and wakes them when something changed."""
 
 import asyncio
+from collections.abc import Callable
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import RequestRefused
@@ -11,7 +12,10 @@
 
 
 class Desk:
-    """The requests that wait at this entry."""
+    """The requests that wait at this entry.
+
+    *on_wait* is called with an engine's key when a request begins to wait for it.
+    """
 
     __slots__ = ("_answer_by_ticket", "_timer", "dispatcher", "on_wait")
 
@@ -19,7 +23,7 @@
         self.dispatcher = dispatcher
         self._answer_by_ticket: dict[Ticket, asyncio.Future] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self.on_wait = lambda key: None
+        self.on_wait: Callable[[tuple[str, int]], None] = lambda key: None
 
     async def place(self, ticket: Ticket) -> SendTo:
         """Return where the request goes, after a wait if need be; raises `RequestRefused`."""
