Notice the registry's return sooner, and prefer endpoints that surely did not leave meanwhile

One entry was cut off from the store while it served the others; an endpoint left meanwhile. The entry took the missing registration for a lapse and kept the endpoint for 2.3 s after it had noticed the return; with watches of 3 s and a second more, and pauses up to 0.6 s, that was noticed late, and a request went there 3.1 s after the leave. Ruled out: the watch of a sound connection (the log has REGISTRY_BACK at the listing that misses the endpoint). Change: watches of 1.5 s with 0.6 s more, pauses of 0.3 s at most, grace of 2 s, registrations gathered for 0.5 s; and an endpoint that is kept so gets work only where nothing else is. A test: such an endpoint is passed over, and all lapsed at once still serve.

--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-RETURN_GRACE_MS = 2300.0
-"""Live endpoints are registered again about two seconds after the registry's return."""
+RETURN_GRACE_MS = 2000.0
+"""Live endpoints are registered again about two seconds after the registry's return. That is
+noticed up to a second late, and one that left meanwhile must get nothing three seconds after it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +62,10 @@
         """Return every endpoint that is believed to live."""
         return self._by_id.values()
 
+    def missing_ids(self) -> frozenset[str]:
+        """Return the endpoints that are only kept because the registry was away."""
+        return frozenset(self._missing_until_by_id)
+
     # Commands
 
     def registry_lost(self) -> None:
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -288,6 +288,7 @@
             denied_by_key=self._denied_by_key,
             kept_by_address=self._kept_by_address,
             wanted_by_key=wanted,
+            missing_ids=self.directory.missing_ids(),
             domain=self.domain,
             now_ms=now_ms,
         )
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -61,6 +61,9 @@
 NO_PLACE_MS = 600.0
 """Wait for a run to end at an engine whose places are all in use."""
 
+MISSING_MS = 500.0
+"""Cost of an endpoint that may have left while the registry was away; others go before it."""
+
 PAUSED_MS = 1000.0
 """Cost of an endpoint to which connections just failed."""
 
@@ -95,6 +98,7 @@
     denied_by_key: dict[tuple[str, int], set[tuple[str, str]]]
     kept_by_address: dict[str, dict[tuple[str, str], None]]
     wanted_by_key: dict[tuple[str, int], set[tuple[str, str]]]
+    missing_ids: frozenset[str]
     domain: str
     now_ms: float
 
@@ -123,6 +127,8 @@
         cost_ms += OTHER_DOMAIN_MS
     if endpoint.cold_ms > 0:
         cost_ms += FULL_BATCH_MS
+    if endpoint.endpoint_id in beliefs.missing_ids:
+        cost_ms += MISSING_MS
     return cost_ms
 
 
--- a/src/skylarkrack/platform/_store.py
+++ b/src/skylarkrack/platform/_store.py
@@ -9,10 +9,10 @@
 from skylarkrack._errors import LinkLost, PlatformUnreachable
 from skylarkrack.web import HttpClient
 
-READ_TIMEOUT_MS = 1500.0
+READ_TIMEOUT_MS = 800.0
 """The store answers in milliseconds; a slow day multiplies that by a hundred."""
 
-WATCH_SLACK_MS = 1000.0
+WATCH_SLACK_MS = 600.0
 """Time beyond a watch's own wait after which its connection is taken for dead."""
 
 _GONE = 410
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -17,19 +17,19 @@
 VERSIONS = "op/version/"
 REGISTRATIONS = "servers/"
 
-WATCH_MS = 3000
-"""Wait of one watch. A connection that went silent is noticed this much later and a second more;
-a configuration has to be in force two seconds after the three that calm takes to count."""
+WATCH_MS = 1500
+"""Wait of one watch. A connection that went silent is noticed this much later and a little more; a
+process that can reach the store again has to go by it within three seconds."""
 
 RETRY_MS = 150
 """Pause after a call that failed; the fleet's calls to a store that is busy stay few."""
 
-GATHER_MS = 800
+GATHER_MS = 500
 """Pause between watches of the registrations: each endpoint changes its own every second, and a
 call for each change would be a hundred a second over the fleet. A leaving endpoint has to be known
 within two seconds."""
 
-MAX_RETRY_MS = 600
+MAX_RETRY_MS = 300
 """Longest pause; who has nothing yet pauses for `RETRY_MS` only, since it can't serve before."""
 
 
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -101,6 +101,22 @@
         self.assertIsInstance(found.decide(ticket(), 0.0), SendTo)
         self.assertIsInstance(found.decide(ticket(adapter="a2"), 0.0), WaitFor)
 
+    def test_an_endpoint_that_may_have_left_is_passed_over(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0, "a1")))
+        first = found.decide(ticket(), 0.0).endpoint
+        found.directory.registry_lost()
+        found.directory.registry_back(0.0)
+        found.directory.remove(first.endpoint_id, 0.0)
+        self.assertNotEqual(found.decide(ticket(), 0.0).endpoint, first)
+
+    def test_endpoints_that_all_lapsed_still_serve(self) -> None:
+        one, two = endpoint("e1"), endpoint("e2")
+        found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0, "a1")))
+        found.directory.registry_lost()
+        found.directory.keep_only(set(), 0.0)
+        self.assertIsInstance(found.decide(ticket(), 0.0), SendTo)
+
     def test_failures_move_requests_away(self) -> None:
         one, two = endpoint("e1"), endpoint("e2")
         found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0, "a1")))
