Give a limit, a role name and an adapter's name one place each; drop what nothing calls

Found by reading the whole change once more: LOADS_AT_ONCE stood in placement and in places, the role 'agent' in the core and in the shell, and (model, adapter or '') was written five times. Dispatcher.newest_version and OUTPUT_TOKEN_COST had no caller, and two exports were listed twice. Change: placement takes the limit from places, the shell the role from the core, ModelNeed has a name.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -16,7 +16,7 @@
 )
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import EngineState, Load
-from skylarkrack.core.relay._membership import Contact, Membership
+from skylarkrack.core.relay._membership import AGENT, Contact, Membership
 from skylarkrack.core.relay._places import (
     EngineOrder,
     EngineReport,
@@ -41,6 +41,7 @@
 from skylarkrack.core.relay._usage import Usage
 
 __all__ = [
+    "AGENT",
     "RETURN_GRACE_MS",
     "AdapterPublished",
     "Call",
@@ -66,8 +67,6 @@
     "OrderResult",
     "PlaceLimits",
     "Places",
-    "PlaceLimits",
-    "Places",
     "Quota",
     "Route",
     "RoutingTable",
--- a/src/skylarkrack/core/relay/_call.py
+++ b/src/skylarkrack/core/relay/_call.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-OUTPUT_TOKEN_COST = 1
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelNeed:
@@ -19,6 +17,11 @@
     output_tokens: int
     prefix: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def name(self) -> tuple[str, str]:
+        """Model and adapter; the adapter is "" for the model itself."""
+        return self.model, self.adapter or ""
+
     @property
     def tokens(self) -> int:
         """Prompt and longest answer together."""
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -151,10 +151,6 @@
         """Return how many requests wait."""
         return len(self._waiting)
 
-    def newest_version(self, need: ModelNeed) -> int:
-        """Return the newest announced version of the adapter, or 0."""
-        return self._version_by_adapter.get((need.model, need.adapter or ""), 0)
-
     def decide(self, ticket: Ticket, now_ms: float) -> Decision:
         """Decide about one request."""
         service = self.table.service_by_name.get(ticket.service_name)
@@ -173,7 +169,7 @@
         for ticket in self._waiting:
             if ticket.waits_at != key or ticket.need is None:
                 continue
-            name = (ticket.need.model, ticket.need.adapter or "")
+            name = ticket.need.name
             known = wanted.get(name)
             wanted[name] = Want(
                 urgency=ticket.priority if known is None else min(known.urgency, ticket.priority),
@@ -250,12 +246,11 @@
 
     def missing(self, key: Key, need: ModelNeed) -> None:
         """Take an engine's word that it does not hold the adapter, until its agent tells again."""
-        name = (need.model, need.adapter or "")
         state = self._state_by_key.get(key)
         if state is None:
-            self._denied_by_key.setdefault(key, set()).add(name)
+            self._denied_by_key.setdefault(key, set()).add(need.name)
         else:
-            state.resident.pop(name, None)
+            state.resident.pop(need.name, None)
 
     def forget_gone(self) -> None:
         """Drop what is known of incarnations that are gone."""
@@ -278,7 +273,7 @@
         wanted: dict[Key, set[tuple[str, str]]] = {}
         for ticket in self._waiting:
             if ticket.need is not None and ticket.waits_at is not None:
-                name = (ticket.need.model, ticket.need.adapter or "")
+                name = ticket.need.name
                 wanted.setdefault(ticket.waits_at, set()).add(name)
         return Beliefs(
             health=self.health,
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -13,6 +13,7 @@
 from skylarkrack.core.relay._directory import Endpoint
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load
+from skylarkrack.core.relay._places import LOADS_AT_ONCE
 from skylarkrack.core.relay._table import Service
 
 COLD_LOAD_MS = 300.0
@@ -55,9 +56,6 @@
 PLAIN_RUN_MS = 80.0
 """Latency that is assumed of a plain endpoint before it has answered."""
 
-LOADS_AT_ONCE = 4
-"""Adapters that may be on their way to one engine at a time."""
-
 NO_PLACE_MS = 600.0
 """Wait for a run to end at an engine whose places are all in use."""
 
@@ -177,7 +175,7 @@
     endpoint: Endpoint, need: ModelNeed, beliefs: Beliefs
 ) -> tuple[int | None, float]:
     """Return the version that can be used now, or None, and the wait for one in ms."""
-    name = (need.model, need.adapter or "")
+    name = need.name
     newest = beliefs.version_by_adapter.get(name, 0) if need.adapter else 0
     state = beliefs.state_by_key.get(endpoint.key)
     if state is None or beliefs.now_ms - state.received_ms > STATE_LIFE_MS:
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -3,11 +3,11 @@
 import zlib
 
 from skylarkrack._clock import monotonic_ms
-from skylarkrack.core.relay import Endpoint, EngineHeard, EngineState
+from skylarkrack.core.relay import AGENT, Endpoint, EngineHeard, EngineState
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState
 from skylarkrack.relay._exchange import ExchangeParts
 from skylarkrack.relay._handover import Handover
-from skylarkrack.relay._peers import AGENT, ENTRY, Peers
+from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.relay._settings import RelaySettings
 
 TICK_MS = 50.0
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -11,6 +11,7 @@
 from skylarkrack._tasks import Tasks
 from skylarkrack._traces import Traces
 from skylarkrack.core.relay import (
+    AGENT,
     Contact,
     EngineOrder,
     EngineReport,
@@ -19,7 +20,7 @@
     Want,
 )
 from skylarkrack.messages import AdapterDemand, EngineTold
-from skylarkrack.relay._peers import AGENT, ENTRY, Peers
+from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.relay._registry import EnginePort
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.web import ServerLimits
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -4,13 +4,12 @@
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import Contact, Membership
+from skylarkrack.core.relay import AGENT, Contact, Membership
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState, Roster
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._settings import RelaySettings
 
 ENTRY = "entry"
-AGENT = "agent"
 _ROLE_BY_TYPE = {RelayState: ENTRY, AdapterDemand: ENTRY, EngineTold: AGENT}
 
 
