Take a request's retries, log lines and shared parts out of the exchange

Done: core/relay/_attempts.py decides whether a request is sent again and what may be said of one that is not, with tests of its own that need no process; relay/_exchange_log.py writes; relay/_parts.py holds the parts. A caller's key is digested once a request, endpoint digests are kept with the directory instead of built for each datagram, and an entry's incarnation, which nothing read, left the agent's demand. Ruled out: a change of behaviour. The budget is earned at the same moment, outcomes are the same.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -1,8 +1,14 @@
 """Decisions of the relaying entry and of the agent that orders an engine's adapters."""
 
+from skylarkrack.core.relay._attempts import Attempts, GiveUp
 from skylarkrack.core.relay._call import Call, ModelNeed
 from skylarkrack.core.relay._crashes import Crashes
-from skylarkrack.core.relay._directory import RETURN_GRACE_MS, Directory, Endpoint
+from skylarkrack.core.relay._directory import (
+    RETURN_GRACE_MS,
+    Directory,
+    Endpoint,
+    digest_of_endpoint,
+)
 from skylarkrack.core.relay._dispatch import (
     AdapterPublished,
     Decision,
@@ -44,6 +50,7 @@
     "AGENT",
     "RETURN_GRACE_MS",
     "AdapterPublished",
+    "Attempts",
     "Call",
     "CallerLimits",
     "Contact",
@@ -57,6 +64,7 @@
     "EngineReport",
     "EngineShape",
     "EngineState",
+    "GiveUp",
     "Health",
     "Load",
     "Member",
@@ -79,5 +87,6 @@
     "WaitFor",
     "Want",
     "by_host",
+    "digest_of_endpoint",
     "digest_of_key",
 ]
--- /dev/null
+++ b/src/skylarkrack/core/relay/_attempts.py
@@ -0,0 +1,81 @@
+"""Whether a request that an endpoint did not answer may be sent once more.
+
+The load pattern that this answers: endpoints that fail by the dozen. Repeats then come out of a
+budget of the service, so that they stay a small part of its traffic, and a request that may have
+run is repeated only where its route allows that.
+"""
+
+from dataclasses import dataclass
+
+from skylarkrack._errors import Code, Outcome
+from skylarkrack.core._retry_budget import RetryBudget
+from skylarkrack.core.relay._table import Route
+
+MAX_SENDS = 4
+"""Endpoints that one request is offered to."""
+
+RETURN_MS = 400
+"""When a caller may come back after the endpoints refused its request."""
+
+RERUN_PART = 0.5
+"""Part of a route's objective that must be left to replace a failure by another run."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """The request is not sent again; *outcome* is what is known of its execution."""
+
+    code: Code
+    outcome: Outcome
+    retry_after_ms: int | None = None
+
+
+class Attempts:
+    """The sends of one request, and what they take of its service's retry budget."""
+
+    __slots__ = ("_budget", "_route", "runs", "sends")
+
+    def __init__(self, route: Route, budget: RetryBudget) -> None:
+        self._route = route
+        self._budget = budget
+        self.runs = 0
+        self.sends = 0
+        budget.earn()
+
+    # Queries
+
+    def may_replace_failure(self, left_ms: float) -> bool:
+        """Tell whether another run may be tried instead of handing a failure on."""
+        route = self._route
+        is_allowed = route.is_idempotent and self.runs + 1 < route.max_endpoints
+        is_in_time = left_ms > RERUN_PART * route.objective_ms
+        return is_allowed and is_in_time and self._budget.has_left()
+
+    def end_before_send(self) -> GiveUp | None:
+        """Return how the request ends if it can't be placed; None leaves that to the refusal."""
+        return self._may_have_run() if self.runs else None
+
+    def end_at_deadline(self, *, is_sent: bool) -> GiveUp:
+        """Return how the request ends when its time is up."""
+        is_unknown = is_sent or self.runs
+        outcome = Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+        return GiveUp(code=Code.DEADLINE, outcome=outcome)
+
+    # Commands
+
+    def failed(self, *, was_sent: bool, may_have_run: bool) -> GiveUp | None:
+        """Count a send that brought no answer; return None if the request may be sent again."""
+        self.sends += was_sent
+        self.runs += may_have_run
+        route = self._route
+        if self.runs and (not route.is_idempotent or self.runs >= route.max_endpoints):
+            return self._may_have_run()
+        is_spent = was_sent and not self._budget.spend()
+        if self.sends < MAX_SENDS and not is_spent:
+            return None
+        if self.runs:
+            return self._may_have_run()
+        return GiveUp(code=Code.QUEUE_FULL, outcome=Outcome.NOT_RUN, retry_after_ms=RETURN_MS)
+
+    def _may_have_run(self) -> GiveUp:
+        return GiveUp(code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -5,6 +5,7 @@
 `RETURN_GRACE_MS` after the registry's return, in which a live endpoint registers again.
 """
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -36,14 +37,27 @@
         return self.address, self.started_ms
 
 
+def digest_of_endpoint(key: tuple[str, int]) -> int:
+    """Return a short name of an endpoint's incarnation, the same at all entries."""
+    return zlib.crc32(f"{key[0]}/{key[1]}".encode())
+
+
 class Directory:
     """Endpoints by id. Commands take the time in ms of a monotonic clock."""
 
-    __slots__ = ("_away", "_back_ms", "_by_id", "_by_service", "_missing_until_by_id")
+    __slots__ = (
+        "_away",
+        "_back_ms",
+        "_by_id",
+        "_by_service",
+        "_key_by_digest",
+        "_missing_until_by_id",
+    )
 
     def __init__(self) -> None:
         self._by_id: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        self._key_by_digest: dict[int, tuple[str, int]] = {}
         self._missing_until_by_id: dict[str, float] = {}
         self._away = False
         self._back_ms = float("-inf")
@@ -62,6 +76,10 @@
         """Return every endpoint that is believed to live."""
         return self._by_id.values()
 
+    def key_of(self, digest: int) -> tuple[str, int] | None:
+        """Return the incarnation that has this digest, or None if it is not known here."""
+        return self._key_by_digest.get(digest)
+
     def missing_ids(self) -> frozenset[str]:
         """Return the endpoints that are only kept because the registry was away."""
         return frozenset(self._missing_until_by_id)
@@ -132,6 +150,8 @@
             if not endpoint.is_leaving:
                 grouped.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = grouped
+        keys = (endpoint.key for endpoint in self._by_id.values())
+        self._key_by_digest = {digest_of_endpoint(key): key for key in keys}
 
     def _swap(self, old: Endpoint, new: Endpoint) -> None:
         group = self._by_service.get(new.service, [])
--- a/src/skylarkrack/core/relay/_places.py
+++ b/src/skylarkrack/core/relay/_places.py
@@ -108,7 +108,6 @@
 
 @dataclass(slots=True)
 class _Demand:
-    incarnation: str
     heard_ms: float
     heard_sequence: int = 0
     wanted: dict[Name, Want] = field(default_factory=dict)
@@ -202,7 +201,6 @@
     def demanded(
         self,
         entry: str,
-        incarnation: str,
         *,
         wanted: dict[Name, Want],
         in_use: dict[Name, int],
@@ -211,10 +209,10 @@
     ) -> None:
         """Take what an entry waits for, the runs it has here, and which telling it heard last.
 
-        A new incarnation of an entry has lost the runs of the one before; those may still be at
+        An entry that was started anew has lost the runs of the one before; those may still be at
         the engine, which waits for their end before it evicts.
         """
-        self._demand_by_entry[entry] = _Demand(incarnation, now_ms, heard_sequence, wanted, in_use)
+        self._demand_by_entry[entry] = _Demand(now_ms, heard_sequence, wanted, in_use)
         for name in (*wanted, *in_use):
             self._used_ms_by_name[name] = now_ms
             self._retired_at_by_name.pop(name, None)
--- a/src/skylarkrack/core/relay/_table.py
+++ b/src/skylarkrack/core/relay/_table.py
@@ -118,15 +118,13 @@
                 return route
         return None
 
-    def organisation_for(self, key: str | None) -> Member | None:
-        """Return the organisation that holds *key*, or None."""
-        if key is None or self.organisation_by_digest is None:
-            return None
-        return self.organisation_by_digest.get(digest_of_key(key))
+    def organisation_of(self, digest: bytes) -> Member | None:
+        """Return the organisation that holds the key with this digest, or None."""
+        return (self.organisation_by_digest or {}).get(digest)
 
     def still_holds(self, digest: bytes, organisation: str) -> bool:
         """Tell whether a key that was admitted for *organisation* still belongs to it."""
-        member = (self.organisation_by_digest or {}).get(digest)
+        member = self.organisation_of(digest)
         return member is not None and member.name == organisation
 
 
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -1,12 +1,16 @@
 """What an entry tells other entries and agents, and what it hears from them."""
 
-import zlib
-
 from skylarkrack._clock import monotonic_ms
-from skylarkrack.core.relay import AGENT, Endpoint, EngineHeard, EngineState
+from skylarkrack.core.relay import (
+    AGENT,
+    Endpoint,
+    EngineHeard,
+    EngineState,
+    digest_of_endpoint,
+)
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState
-from skylarkrack.relay._exchange import ExchangeParts
 from skylarkrack.relay._handover import Handover
+from skylarkrack.relay._parts import EntryParts
 from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.relay._settings import RelaySettings
 
@@ -58,7 +62,7 @@
         self,
         settings: RelaySettings,
         *,
-        parts: ExchangeParts,
+        parts: EntryParts,
         handover: Handover,
         incarnation: str,
     ) -> None:
@@ -112,8 +116,8 @@
             now_ms=now_ms,
         )
         self._parts.crashes.told(message.suspects, now_ms)
-        key_by_digest = self._key_by_digest()
-        rows = [(key_by_digest.get(row[0]), *row[1:]) for row in message.loads]
+        directory = self._parts.desk.dispatcher.directory
+        rows = [(directory.key_of(row[0]), *row[1:]) for row in message.loads]
         known = [row for row in rows if row[0] is not None]
         self._parts.desk.dispatcher.load.told(
             message.vm,
@@ -123,10 +127,6 @@
             now_ms=now_ms,
         )
 
-    def _key_by_digest(self) -> dict[int, tuple[str, int]]:
-        endpoints = self._parts.desk.dispatcher.directory.all()
-        return {_digest_of(endpoint.key): endpoint.key for endpoint in endpoints}
-
     def _hear_engine(self, message: EngineTold, now_ms: float) -> None:
         known = self._heard_by_endpoint.get(message.endpoint)
         if known is not None and known[0] == message.incarnation and known[1] > message.sequence:
@@ -184,7 +184,7 @@
             is_complete=is_complete,
             suspects=self._parts.crashes.telling(),
             loads=[
-                [_digest_of(key), runs, tokens, load.own_prompts(key, now_ms)]
+                [digest_of_endpoint(key), runs, tokens, load.own_prompts(key, now_ms)]
                 for key, (runs, tokens) in own.items()
             ],
         )
@@ -253,8 +253,3 @@
             heard=heard,
         )
         self._peers.send(demand, address)
-
-
-def _digest_of(key: tuple[str, int]) -> int:
-    """Return a short name of an endpoint's incarnation, the same at all entries."""
-    return zlib.crc32(f"{key[0]}/{key[1]}".encode())
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -139,7 +139,6 @@
         self._places.limits_known(limits)
         self._places.demanded(
             message.vm,
-            message.incarnation,
             wanted={
                 (row[0], row[1]): Want(urgency=row[2], requests=row[3], version=row[4])
                 for row in message.wanted
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -15,9 +15,9 @@
 from skylarkrack.relay._desk import Desk
 from skylarkrack.relay._dialect import Dialect
 from skylarkrack.relay._endpoints import Endpoints
-from skylarkrack.relay._exchange import ExchangeParts
 from skylarkrack.relay._front import Front
 from skylarkrack.relay._handover import Handover
+from skylarkrack.relay._parts import EntryParts
 from skylarkrack.relay._registry_view import RegistryView
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.web import Handler, HttpServer, Request, Responder, ServerLimits
@@ -58,7 +58,7 @@
         self._settings = settings
         self._tasks = Tasks()
         self._dispatcher = Dispatcher(domain=settings.domain)
-        self._parts = ExchangeParts(
+        self._parts = EntryParts(
             desk=Desk(self._dispatcher),
             dialect=dialect,
             endpoints=Endpoints(),
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -1,20 +1,15 @@
 """One request on its way: to an endpoint, perhaps to another, and its answer back."""
 
 import asyncio
-from dataclasses import dataclass
 
-from skylarkrack._burn import FIRST_TOKEN_OBJECTIVE_MS, BurnMeter
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
+from skylarkrack._errors import LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack._metrics import Metrics
-from skylarkrack._tasks import Tasks
-from skylarkrack.core import RetryBudget
-from skylarkrack.core.relay import Crashes, Endpoint, SendTo, Ticket, Usage
-from skylarkrack.relay._desk import Desk
-from skylarkrack.relay._dialect import Dialect, Passage, Verdict
-from skylarkrack.relay._endpoints import Endpoints
+from skylarkrack.core.relay import Attempts, Endpoint, GiveUp, SendTo, Ticket
+from skylarkrack.relay._dialect import Passage, Verdict
 from skylarkrack.relay._event_stream import EventStream
+from skylarkrack.relay._exchange_log import ExchangeLog
+from skylarkrack.relay._parts import EntryParts
 from skylarkrack.relay._refusals import write_refusal
 from skylarkrack.web import ClientResponse, Request, Responder
 
@@ -28,12 +23,6 @@
 """A request that may not be repeated uses no connection that was idle for longer: the endpoint may
 drop idle connections unannounced, and the request would be lost with an unknown outcome."""
 
-MAX_SENDS = 4
-"""Endpoints that one request is offered to."""
-
-RETURN_MS = 400
-"""When a caller may come back after the endpoints refused its request."""
-
 MAX_URGENCY = 9
 FIRST_URGENCY = 2
 """Urgency of priority 0; lower values stay free for what must overtake everything."""
@@ -41,63 +30,41 @@
 _SERVER_ERROR = 500
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExchangeParts:
-    """What exchanges share."""
-
-    desk: Desk
-    dialect: Dialect
-    endpoints: Endpoints
-    metrics: Metrics
-    burn: BurnMeter
-    usage: Usage
-    crashes: Crashes
-    tasks: Tasks
-    retries_by_service: dict[str, RetryBudget]
-    most_retries: float
-
-
 class _TryAgain(Exception):
     """The endpoint did not run the request, or it may run again."""
 
-    def __init__(self, reason: str, *, was_sent: bool, has_run: bool) -> None:
+    def __init__(self, reason: str, *, was_sent: bool, may_have_run: bool) -> None:
         super().__init__(reason)
         self.was_sent = was_sent
-        self.has_run = has_run
+        self.may_have_run = may_have_run
 
 
 class Exchange:
     """Carries one admitted request to its final answer."""
 
     __slots__ = (
+        "_attempts",
         "_events",
-        "_first_event_ms",
         "_last",
-        "_last_event_ms",
-        "_longest_gap_ms",
+        "_log",
         "_parts",
         "_request",
         "_responder",
-        "_runs",
-        "_sends",
         "state",
         "ticket",
     )
 
     def __init__(
-        self, parts: ExchangeParts, request: Request, responder: Responder, ticket: Ticket
+        self, parts: EntryParts, request: Request, responder: Responder, ticket: Ticket
     ) -> None:
         self._parts = parts
         self._request = request
         self._responder = responder
         self.ticket = ticket
+        self._attempts = Attempts(ticket.route, parts.retries_of(ticket.service_name))
         self._events = EventStream() if ticket.route.is_stream else None
-        self._first_event_ms: float | None = None
-        self._last_event_ms = 0.0
-        self._longest_gap_ms = 0.0
         self._last: SendTo | None = None
-        self._sends = 0
-        self._runs = 0
+        self._log = ExchangeLog(parts, ticket)
         self.state = "placing"
 
     @property
@@ -108,65 +75,43 @@
 
     async def run(self) -> None:
         """Bring the request to its final answer."""
-        ticket, budget = self.ticket, self._budget()
-        budget.earn()
         try:
-            left_ms = ticket.ends_ms - monotonic_ms() + ANSWER_SLACK_MS
+            left_ms = self.ticket.ends_ms - monotonic_ms() + ANSWER_SLACK_MS
             async with asyncio.timeout(max(0.0, left_ms) / 1000):
-                await self._send_until_answered(budget)
+                await self._send_until_answered()
         except TimeoutError:
-            self._fail(self._late())
+            end = self._attempts.end_at_deadline(is_sent=self.state != "placing")
+            self._fail(_refusal_of(end, "no answer in time"))
         except RequestRefused as refusal:
             self._fail(refusal)
 
-    async def _send_until_answered(self, budget: RetryBudget) -> None:
+    async def _send_until_answered(self) -> None:
         while True:
-            self.state = "placing"
-            began_ms = monotonic_ms()
-            try:
-                placed = await self._parts.desk.place(self.ticket)
-            except RequestRefused as refusal:
-                raise self._worst(refusal) from None
-            self._last = placed
-            self._note_wait(placed, monotonic_ms() - began_ms)
+            placed = await self._place()
             try:
                 await self._offer(placed)
                 return
             except _TryAgain as again:
                 self.ticket.tried.add(placed.endpoint.key)
-                self._check_retry(again, budget)
-                log(
-                    Event.RELAY_RETRIED,
-                    request=self.ticket.call.request_id,
-                    endpoint=placed.endpoint.endpoint_id,
-                    reason=str(again),
+                end = self._attempts.failed(
+                    was_sent=again.was_sent, may_have_run=again.may_have_run
                 )
-                self._parts.metrics.count("retried_total", self.ticket.service_name)
+                if end is not None:
+                    raise _refusal_of(end, str(again)) from again
+                self._log.retried(placed, str(again))
 
-    def _check_retry(self, again: _TryAgain, budget: RetryBudget) -> None:
-        """Raise the final refusal unless the request may be sent once more."""
-        route = self.ticket.route
-        if again.was_sent:
-            self._sends += 1
-        if again.has_run:
-            self._runs += 1
-        if self._runs and (not route.is_idempotent or self._runs >= route.max_endpoints):
-            raise RequestRefused(str(again), code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
-        is_spent = again.was_sent and not budget.spend()
-        if self._sends >= MAX_SENDS or is_spent:
-            refusal = RequestRefused(str(again), code=Code.QUEUE_FULL, retry_after_ms=RETURN_MS)
-            raise self._worst(refusal)
-
-    def _worst(self, refusal: RequestRefused) -> RequestRefused:
-        """Return *refusal* unless the request may have run, which it must not deny."""
-        if not self._runs:
-            return refusal
-        return RequestRefused(str(refusal), code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
-
-    def _late(self) -> RequestRefused:
-        is_unsent = self.state == "placing" and not self._runs
-        outcome = Outcome.NOT_RUN if is_unsent else Outcome.UNKNOWN
-        return RequestRefused("no answer in time", code=Code.DEADLINE, outcome=outcome)
+    async def _place(self) -> SendTo:
+        """Return where the request goes; raises `RequestRefused`."""
+        self.state = "placing"
+        began_ms = monotonic_ms()
+        try:
+            placed = await self._parts.desk.place(self.ticket)
+        except RequestRefused as refusal:
+            end = self._attempts.end_before_send()
+            raise (refusal if end is None else _refusal_of(end, str(refusal))) from None
+        self._last = placed
+        self._log.placed(placed, monotonic_ms() - began_ms)
+        return placed
 
     async def _offer(self, placed: SendTo) -> None:
         """Send the request to one endpoint and hand its answer on; raises `_TryAgain`."""
@@ -215,7 +160,7 @@
             else:
                 health.unreachable(endpoint.key, now_ms)
                 self._parts.crashes.died(endpoint.key, now_ms)
-            raise _TryAgain(str(error), was_sent=error.sent, has_run=error.sent) from error
+            raise _TryAgain(str(error), was_sent=error.sent, may_have_run=error.sent) from error
         if not route.is_stream:
             health.answered(endpoint.key, monotonic_ms() - now_ms, monotonic_ms())
         return response
@@ -273,48 +218,27 @@
                 dispatcher.missing(endpoint.key, self.ticket.need)
         else:
             dispatcher.health.failed(endpoint.key, monotonic_ms())
-        raise _TryAgain(f"not run: status {response.status}", was_sent=True, has_run=False)
+        reason = f"not run: status {response.status}"
+        raise _TryAgain(reason, was_sent=True, may_have_run=False)
 
     async def _pass_whole(self, response: ClientResponse, placed: SendTo, verdict: Verdict) -> None:
         """Hand on an answer that was read whole, or send the request again if that is allowed."""
-        endpoint = placed.endpoint
-        route = self.ticket.route
+        endpoint, left_ms = placed.endpoint, self._left_ms(monotonic_ms())
         try:
-            body = await response.whole(timeout_ms=self._left_ms(monotonic_ms()))
+            body = await response.whole(timeout_ms=left_ms)
         except LinkLost as error:
             self._lost_at(endpoint)
-            raise _TryAgain(str(error), was_sent=True, has_run=True) from error
+            raise _TryAgain(str(error), was_sent=True, may_have_run=True) from error
         if response.status < 300 and not verdict.is_proven:
             self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
-            raise _TryAgain("an answer without proof", was_sent=True, has_run=True)
-        if response.status >= _SERVER_ERROR and self._may_run_again(route):
-            raise _TryAgain(f"failed with status {response.status}", was_sent=True, has_run=True)
+            raise _TryAgain("an answer without proof", was_sent=True, may_have_run=True)
+        left_ms = self._left_ms(monotonic_ms())
+        if response.status >= _SERVER_ERROR and self._attempts.may_replace_failure(left_ms):
+            reason = f"failed with status {response.status}"
+            raise _TryAgain(reason, was_sent=True, may_have_run=True)
         headers = self._parts.dialect.headers_for_caller(response.headers)
         self._responder.whole(response.status, headers, body)
-        self._ended(response.status)
-
-    def _lost_at(self, endpoint: Endpoint) -> None:
-        """Note an answer that was lost; the endpoint may have died of the request."""
-        now_ms = monotonic_ms()
-        self._parts.desk.dispatcher.health.failed(endpoint.key, now_ms)
-        self._parts.crashes.lost(self.ticket.fingerprint, endpoint.key, now_ms)
-        self._parts.tasks.spawn(self._check_alive(endpoint))
-
-    async def _check_alive(self, endpoint: Endpoint) -> None:
-        """Find out whether an endpoint that lost an answer is dead, before others go there."""
-        try:
-            await self._parts.endpoints.client_of(endpoint).open_spare(CONNECT_TIMEOUT_MS)
-        except LinkLost as error:
-            now_ms = monotonic_ms()
-            log(Event.ENDPOINT_DEAD, endpoint=endpoint.endpoint_id, error=str(error))
-            self._parts.desk.dispatcher.health.unreachable(endpoint.key, now_ms)
-            self._parts.crashes.died(endpoint.key, now_ms)
-
-    def _may_run_again(self, route: object) -> bool:
-        left_ms = self._left_ms(monotonic_ms())
-        is_in_time = left_ms > route.objective_ms / 2
-        is_allowed = route.is_idempotent and self._runs + 1 < route.max_endpoints
-        return is_allowed and is_in_time and self._budget().has_left()
+        self._ended(response.status, placed)
 
     async def _pass_stream(
         self, response: ClientResponse, placed: SendTo, verdict: Verdict
@@ -322,7 +246,7 @@
         """Hand on the events of a stream as they come."""
         endpoint = placed.endpoint
         if not verdict.is_proven:
-            raise _TryAgain("a stream without proof", was_sent=True, has_run=True)
+            raise _TryAgain("a stream without proof", was_sent=True, may_have_run=True)
         health, sent_ms = self._parts.desk.dispatcher.health, monotonic_ms()
         is_first = True
         try:
@@ -337,98 +261,54 @@
         except (LinkLost, ValueError) as error:
             self._lost_at(endpoint)
             self._events.drop_partial()
-            raise _TryAgain(str(error), was_sent=True, has_run=True) from error
+            raise _TryAgain(str(error), was_sent=True, may_have_run=True) from error
         if self._events.has_partial or is_first:
             health.failed(endpoint.key, monotonic_ms())
             self._events.drop_partial()
-            raise _TryAgain("ended within an event", was_sent=True, has_run=True)
+            raise _TryAgain("ended within an event", was_sent=True, may_have_run=True)
         self._responder.end()
-        self._ended(response.status)
+        self._ended(response.status, placed)
 
     def _pass_events(self, response: ClientResponse, events: bytes) -> None:
-        now_ms = monotonic_ms()
-        if self._responder.has_started:
-            self._longest_gap_ms = max(self._longest_gap_ms, now_ms - self._last_event_ms)
-        else:
+        if not self._responder.has_started:
             headers = self._parts.dialect.headers_for_caller(response.headers)
             self._responder.start(response.status, headers)
-            waited_ms = now_ms - self.ticket.call.arrived_ms
-            self._first_event_ms = waited_ms
-            is_soon = waited_ms <= FIRST_TOKEN_OBJECTIVE_MS
-            self._parts.burn.observe("first_token", is_good=is_soon, now_ms=now_ms)
-            self._parts.metrics.observe_ms("first_event_ms", waited_ms, self.ticket.route.name)
-        self._last_event_ms = now_ms
         self._responder.send(events)
-        self._parts.metrics.count("events_total")
-
-    def _budget(self) -> RetryBudget:
-        budgets, name = self._parts.retries_by_service, self.ticket.service_name
-        if name not in budgets:
-            budgets[name] = RetryBudget(self._parts.most_retries)
-        return budgets[name]
-
-    def _note_wait(self, placed: SendTo, waited_ms: float) -> None:
-        if waited_ms < 1:
-            return
-        log(
-            Event.RELAY_WAITED,
-            request=self.ticket.call.request_id,
-            endpoint=placed.endpoint.endpoint_id,
-            waited_ms=round(waited_ms),
-            cost_ms=round(placed.cost_ms),
-        )
-        self._parts.metrics.observe_ms("placed_after_ms", waited_ms, self.ticket.service_name)
+        self._log.events_passed()
 
-    def _ended(self, status: int) -> None:
+    def _lost_at(self, endpoint: Endpoint) -> None:
+        """Note an answer that was lost; the endpoint may have died of the request."""
         now_ms = monotonic_ms()
-        took_ms = now_ms - self.ticket.call.arrived_ms
+        self._parts.desk.dispatcher.health.failed(endpoint.key, now_ms)
+        self._parts.crashes.lost(self.ticket.fingerprint, endpoint.key, now_ms)
+        self._parts.tasks.spawn(self._check_alive(endpoint))
+
+    async def _check_alive(self, endpoint: Endpoint) -> None:
+        """Find out whether an endpoint that lost an answer is dead, before others go there."""
+        try:
+            await self._parts.endpoints.client_of(endpoint).open_spare(CONNECT_TIMEOUT_MS)
+        except LinkLost as error:
+            now_ms = monotonic_ms()
+            log(Event.ENDPOINT_DEAD, endpoint=endpoint.endpoint_id, error=str(error))
+            self._parts.desk.dispatcher.health.unreachable(endpoint.key, now_ms)
+            self._parts.crashes.died(endpoint.key, now_ms)
+
+    def _ended(self, status: int, placed: SendTo) -> None:
         self.state = "ended"
-        self._parts.crashes.ended_well(self.ticket.fingerprint, now_ms)
-        self._log(Event.RELAY_ENDED, took_ms, status=status, sends=self._sends + 1)
-        self._parts.burn.observe("answered", is_good=status < _SERVER_ERROR, now_ms=now_ms)
-        self._parts.metrics.count("answered_total", str(status))
-        self._parts.metrics.observe_ms("took_ms", took_ms, self.ticket.route.name)
+        self._parts.crashes.ended_well(self.ticket.fingerprint, monotonic_ms())
+        self._log.ended(status, placed, self._attempts)
 
     def _fail(self, refusal: RequestRefused) -> None:
-        self._log(
-            Event.RELAY_BROKEN if self._responder.has_started else Event.RELAY_REFUSED,
-            monotonic_ms() - self.ticket.call.arrived_ms,
-            code=int(refusal.code),
-            outcome=str(refusal.outcome),
-            reason=str(refusal),
-            sends=self._sends,
-            runs_begun=self._runs,
-        )
-        self._parts.burn.observe("answered", is_good=False, now_ms=monotonic_ms())
-        self._parts.metrics.count("refused_total", refusal.code.name.lower())
+        has_begun = self._responder.has_started
+        self._log.failed(refusal, self._last, self._attempts, has_begun=has_begun)
         if refusal.outcome is Outcome.NOT_RUN and self.ticket.cost:
             self._parts.usage.give_back(self.ticket.organisation, self.ticket.cost)
         self.state = "ended"
-        request_id = self.ticket.call.request_id
-        headers = self._parts.dialect.headers_of_own_answer(request_id)
+        headers = self._parts.dialect.headers_of_own_answer(self.ticket.call.request_id)
         write_refusal(self._responder, refusal, headers)
 
-    def _log(self, event: Event, took_ms: float, **fields: object) -> None:
-        """Write the request's last line: what decided its way, how old that was, the outcome."""
-        placed, table = self._last, self._parts.desk.dispatcher.table
-        if placed is not None:
-            age_ms = placed.state_age_ms
-            fields |= {
-                "endpoint": placed.endpoint.endpoint_id,
-                "version": placed.version,
-                "cost_ms": round(placed.cost_ms),
-                "runs_there": placed.runs,
-                "state_age_ms": None if age_ms is None else round(age_ms),
-            }
-        if self._first_event_ms is not None:
-            fields["first_ms"] = round(self._first_event_ms)
-            fields["gap_ms"] = round(self._longest_gap_ms)
-        log(
-            event,
-            request=self.ticket.call.request_id,
-            organisation=self.ticket.organisation,
-            route=self.ticket.route.name,
-            table=table.version,
-            took_ms=round(took_ms),
-            **fields,
-        )
+
+def _refusal_of(end: GiveUp, reason: str) -> RequestRefused:
+    return RequestRefused(
+        reason, code=end.code, outcome=end.outcome, retry_after_ms=end.retry_after_ms
+    )
--- a/src/skylarkrack/relay/_front.py
+++ b/src/skylarkrack/relay/_front.py
@@ -19,7 +19,8 @@
 )
 from skylarkrack.relay._desk import Desk
 from skylarkrack.relay._dialect import Arrival, Dialect
-from skylarkrack.relay._exchange import Exchange, ExchangeParts
+from skylarkrack.relay._exchange import Exchange
+from skylarkrack.relay._parts import EntryParts
 from skylarkrack.relay._refusals import write_refusal
 from skylarkrack.web import Request, Responder
 
@@ -38,7 +39,7 @@
 
     __slots__ = ("_desk", "_dialect", "_metrics", "_parts", "_running", "_tasks", "_usage")
 
-    def __init__(self, parts: ExchangeParts) -> None:
+    def __init__(self, parts: EntryParts) -> None:
         self._desk: Desk = parts.desk
         self._usage: Usage = parts.usage
         self._running: dict[Exchange, asyncio.Task] = {}
@@ -102,7 +103,8 @@
         route = table.route_for(arrival.host, arrival.path)
         if route is None:
             raise RequestRefused("no such route", code=Code.NO_SUCH_PATH)
-        member = self._member_of(table, route, arrival)
+        key_digest = None if arrival.key is None else digest_of_key(arrival.key)
+        member = _member_of(table, route, key_digest)
         fingerprint = _fingerprint_of(request, member)
         if self._parts.crashes.is_refused(fingerprint, now_ms):
             raise RequestRefused("endpoints died while this ran", code=Code.CRASH_SUSPECT)
@@ -119,19 +121,9 @@
             organisation=None if member is None else member.name,
             cost=cost,
             fingerprint=fingerprint,
-            key_digest=None if member is None else digest_of_key(arrival.key),
+            key_digest=None if member is None else key_digest,
         )
 
-    def _member_of(self, table: RoutingTable, route: Route, arrival: Arrival) -> Member | None:
-        if route.is_public or table.organisation_by_digest is None:
-            return None
-        if arrival.key is None:
-            raise RequestRefused("no key", code=Code.NO_KEY)
-        member = table.organisation_for(arrival.key)
-        if member is None:
-            raise RequestRefused("unknown key", code=Code.UNKNOWN_KEY)
-        return member
-
     def _take_quota(self, member: Member, arrival: Arrival, now_ms: float) -> float:
         """Take the request's cost of its organisation's quota and return it."""
         cost = _cost_of(member.quota, arrival)
@@ -161,6 +153,18 @@
         write_refusal(responder, refusal, self._dialect.headers_of_own_answer(request_id))
 
 
+def _member_of(table: RoutingTable, route: Route, key_digest: bytes | None) -> Member | None:
+    """Return the organisation that the request runs for; raises `RequestRefused`."""
+    if route.is_public or table.organisation_by_digest is None:
+        return None
+    if key_digest is None:
+        raise RequestRefused("no key", code=Code.NO_KEY)
+    member = table.organisation_of(key_digest)
+    if member is None:
+        raise RequestRefused("unknown key", code=Code.UNKNOWN_KEY)
+    return member
+
+
 def _cost_of(quota: Quota, arrival: Arrival) -> float:
     """Return what a request takes of its organisation's quota."""
     if not quota.counts_tokens:
--- a/src/skylarkrack/relay/_registry_view.py
+++ b/src/skylarkrack/relay/_registry_view.py
@@ -5,7 +5,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import AdapterPublished, Endpoint, RoutingTable, TablePublished
-from skylarkrack.relay._exchange import ExchangeParts
+from skylarkrack.relay._parts import EntryParts
 
 
 class RegistryView:
@@ -17,7 +17,7 @@
     __slots__ = ("_parts", "_put_in_force", "is_listed")
 
     def __init__(
-        self, parts: ExchangeParts, *, put_in_force: Callable[[RoutingTable, bytes], None]
+        self, parts: EntryParts, *, put_in_force: Callable[[RoutingTable, bytes], None]
     ) -> None:
         self._parts = parts
         self._put_in_force = put_in_force
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from skylarkrack._errors import FileRejected
+from skylarkrack.core.relay import digest_of_key
 from skylarkrack.platform._documents import (
     DocumentRejected,
     decode_endpoint,
@@ -35,8 +36,8 @@
 
     def test_keys_are_kept_as_digests(self) -> None:
         table = decode_table(as_bytes(config()))
-        self.assertEqual(table.organisation_for(KEY).name, "singers")
-        self.assertIsNone(table.organisation_for("other"))
+        self.assertEqual(table.organisation_of(digest_of_key(KEY)).name, "singers")
+        self.assertIsNone(table.organisation_of(digest_of_key("other")))
         self.assertNotIn(KEY, repr(table))
 
     def test_without_tenants_no_key_is_needed(self) -> None:
--- /dev/null
+++ b/tests/test_relay_attempts.py
@@ -0,0 +1,91 @@
+"""When a request is sent once more, and what is said of one that is not."""
+
+import unittest
+
+from skylarkrack._errors import Code, Outcome
+from skylarkrack.core import RetryBudget
+from skylarkrack.core.relay import Attempts, GiveUp
+from tests.relay_builders import route
+
+NOT_RUN = {"was_sent": True, "may_have_run": False}
+LOST = {"was_sent": True, "may_have_run": True}
+UNSENT = {"was_sent": False, "may_have_run": False}
+
+
+def attempts(*, retries: float = 10.0, **changes: object) -> Attempts:
+    """Return the attempts of a request on a route, with a budget of *retries*."""
+    return Attempts(route(**changes), RetryBudget(retries))
+
+
+class TestRequestsThatRunOnce(unittest.TestCase):
+    """A route that allows no repeat."""
+
+    def test_the_word_of_an_endpoint_allows_another(self) -> None:
+        self.assertIsNone(attempts().failed(**NOT_RUN))
+
+    def test_an_answer_that_was_lost_ends_it_unknown(self) -> None:
+        end = attempts().failed(**LOST)
+        self.assertEqual(end, GiveUp(code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN))
+
+    def test_the_fourth_refusal_is_final_and_true(self) -> None:
+        found = attempts()
+        ends = [found.failed(**NOT_RUN) for _ in range(4)]
+        self.assertEqual(ends[:3], [None] * 3)
+        self.assertEqual(ends[3].outcome, Outcome.NOT_RUN)
+        self.assertIsNotNone(ends[3].retry_after_ms)
+
+    def test_connections_that_fail_cost_no_retry(self) -> None:
+        found = attempts(retries=1.0)
+        self.assertEqual([found.failed(**UNSENT) for _ in range(6)], [None] * 6)
+
+
+class TestRequestsThatMayBeRepeated(unittest.TestCase):
+    """A route that allows two endpoints to run a request."""
+
+    def test_the_second_loss_is_final(self) -> None:
+        found = attempts(is_idempotent=True, max_endpoints=2)
+        self.assertIsNone(found.failed(**LOST))
+        self.assertEqual(found.failed(**LOST).outcome, Outcome.UNKNOWN)
+
+    def test_a_refusal_after_a_loss_does_not_deny_the_run(self) -> None:
+        found = attempts(is_idempotent=True, max_endpoints=2)
+        found.failed(**LOST)
+        ends = [found.failed(**NOT_RUN) for _ in range(3)]
+        self.assertEqual(ends[-1].outcome, Outcome.UNKNOWN)
+        self.assertEqual(found.end_before_send().outcome, Outcome.UNKNOWN)
+
+    def test_a_spent_budget_ends_it(self) -> None:
+        budget = RetryBudget(1.0)
+        first = Attempts(route(is_idempotent=True, max_endpoints=2), budget)
+        self.assertIsNone(first.failed(**LOST))
+        second = Attempts(route(is_idempotent=True, max_endpoints=2), budget)
+        self.assertEqual(second.failed(**LOST).outcome, Outcome.UNKNOWN)
+
+    def test_a_failure_is_replaced_only_in_time(self) -> None:
+        found = attempts(is_idempotent=True, max_endpoints=2, objective_ms=300.0)
+        self.assertTrue(found.may_replace_failure(200.0))
+        self.assertFalse(found.may_replace_failure(100.0))
+
+    def test_a_failure_is_handed_on_where_no_run_is_left(self) -> None:
+        found = attempts(is_idempotent=True, max_endpoints=2)
+        found.failed(**LOST)
+        self.assertFalse(found.may_replace_failure(10_000.0))
+
+
+class TestDeadline(unittest.TestCase):
+    """What is said when the time is up."""
+
+    def test_one_that_waited_has_not_run(self) -> None:
+        self.assertEqual(attempts().end_at_deadline(is_sent=False).outcome, Outcome.NOT_RUN)
+
+    def test_one_that_was_sent_may_have_run(self) -> None:
+        self.assertEqual(attempts().end_at_deadline(is_sent=True).outcome, Outcome.UNKNOWN)
+
+    def test_one_that_waits_again_after_a_loss_may_have_run(self) -> None:
+        found = attempts(is_idempotent=True, max_endpoints=2)
+        found.failed(**LOST)
+        self.assertEqual(found.end_at_deadline(is_sent=False).outcome, Outcome.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_places.py
+++ b/tests/test_relay_places.py
@@ -34,7 +34,6 @@
     """Let an entry wait for *adapters* and use others."""
     found.demanded(
         entry,
-        "i",
         wanted={
             (MODEL, adapter): Want(urgency=1, requests=1, version=version) for adapter in adapters
         },
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -330,9 +330,9 @@
     ),
     Guard(
         name="relay-at-most-once",
-        file="relay/_exchange.py",
-        code="if self._runs and (not route.is_idempotent or self._runs >= route.max_endpoints):",
-        without="if self._runs >= route.max_endpoints + 1:",
+        file="core/relay/_attempts.py",
+        code="if self.runs and (not route.is_idempotent or self.runs >= route.max_endpoints):",
+        without="if self.runs >= route.max_endpoints + 1:",
         test="tests.test_relay_path.TestAtMostOnce.test_a_lost_answer_is_not_sent_again",
     ),
     Guard(
