Give an address to its latest start, and a base model the load time that is configured

Others were refused at once with 3 s left, since a model's load counted as 4 s; the configuration says 0.6 s there. Ruled out: late membership (agents were heard 0.1 to 0.2 s after their start) and late orders (the model's load was ordered within 0.1 s of that). Considered: a cost instead of leaving the older registration out. The new endpoint's load costs more than the old one's registration, so the old one would still go first. Tests that failed first: TestDirectory.test_an_address_is_its_latest_starts and test_an_address_that_another_service_has_now, TestRefusals.test_an_engine_that_is_empty_... and test_a_model_on_its_way_....

--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -69,7 +69,11 @@
         return self._by_id.get(endpoint_id)
 
     def of_service(self, service: str) -> list[Endpoint]:
-        """Return the service's endpoints that may get new work, leaving ones left out."""
+        """Return the service's endpoints that may get new work.
+
+        Left out are those that leave, and those whose address has a later start: registrations
+        outlive an endpoint that crashed by some seconds.
+        """
         return self._by_service.get(service, [])
 
     def all(self) -> Iterable[Endpoint]:
@@ -145,9 +149,14 @@
         self._regroup()
 
     def _regroup(self) -> None:
+        latest_by_address: dict[str, int] = {}
+        for endpoint in self._by_id.values():
+            latest = latest_by_address.get(endpoint.address, endpoint.started_ms)
+            latest_by_address[endpoint.address] = max(latest, endpoint.started_ms)
         grouped: dict[str, list[Endpoint]] = {}
         for endpoint in self._by_id.values():
-            if not endpoint.is_leaving:
+            is_superseded = endpoint.started_ms < latest_by_address[endpoint.address]
+            if not endpoint.is_leaving and not is_superseded:
                 grouped.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = grouped
         keys = (endpoint.key for endpoint in self._by_id.values())
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -14,7 +14,7 @@
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load
 from skylarkrack.core.relay._places import LOADS_AT_ONCE
-from skylarkrack.core.relay._table import Service
+from skylarkrack.core.relay._table import EngineShape, Service
 
 COLD_LOAD_MS = 300.0
 """An adapter from the weight store, with the order and the report."""
@@ -25,8 +25,8 @@
 ON_THE_WAY_MS = 150.0
 """What is left on average of a load that was ordered."""
 
-MODEL_LOAD_MS = 4000.0
-"""A base model."""
+ON_THE_WAY_PART = 0.5
+"""Part of a base model's load that is left on average once it was ordered."""
 
 NO_AGENT_MS = 2000.0
 """A load that nobody is there to order."""
@@ -163,7 +163,7 @@
     if beliefs.health.is_paused(key, beliefs.now_ms):
         cost_ms += PAUSED_MS
         is_ready = False
-    version, load_ms = _adapter_state(endpoint, need, beliefs)
+    version, load_ms = _adapter_state(endpoint, shape, need, beliefs)
     if version is None:
         is_ready = False
     return Candidate(
@@ -172,7 +172,7 @@
 
 
 def _adapter_state(
-    endpoint: Endpoint, need: ModelNeed, beliefs: Beliefs
+    endpoint: Endpoint, shape: EngineShape, need: ModelNeed, beliefs: Beliefs
 ) -> tuple[int | None, float]:
     """Return the version that can be used now, or None, and the wait for one in ms."""
     name = need.name
@@ -186,7 +186,7 @@
     if held is not None and held >= newest:
         return held, 0.0
     if (need.model, "") not in state.resident:
-        return None, MODEL_LOAD_MS
+        return None, _model_load_ms(shape, state, need.model)
     if name in state.on_the_way:
         return None, ON_THE_WAY_MS
     kept = beliefs.kept_by_address.get(endpoint.address, {})
@@ -202,6 +202,15 @@
     return None, load_ms
 
 
+def _model_load_ms(shape: EngineShape, state: EngineState, model: str) -> float:
+    """Return the wait for a base model and the adapter after it."""
+    known = shape.model_by_name.get(model)
+    load_ms = NO_AGENT_MS if known is None else known.load_ms
+    if (model, "") in state.on_the_way:
+        load_ms *= ON_THE_WAY_PART
+    return load_ms + COLD_LOAD_MS
+
+
 def _registered(endpoint: Endpoint, need: ModelNeed) -> int | None:
     """Return the version that the endpoint's registration names, which may be some seconds old."""
     adapters = (endpoint.adapters_by_model or {}).get(need.model)
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -34,6 +34,21 @@
         self.directory.put(endpoint("e1", started_ms=1000, is_leaving=True))
         self.assertEqual(self.directory.find("e1").started_ms, 2000)
 
+    def test_an_address_is_its_latest_starts(self) -> None:
+        self.directory.put(endpoint("e2", address="10.0.0.1:8001", started_ms=2000))
+        self.assertEqual(self.ids(), ["e2"])
+        self.directory.put(endpoint("e1"))
+        self.assertEqual(self.ids(), ["e2"])
+
+    def test_an_address_that_another_service_has_now(self) -> None:
+        self.directory.put(endpoint("e2", service="desk", address="10.0.0.1:8001", started_ms=2000))
+        self.assertEqual(self.ids(), [])
+
+    def test_the_start_before_serves_again_if_the_later_one_is_gone(self) -> None:
+        self.directory.put(endpoint("e2", address="10.0.0.1:8001", started_ms=2000))
+        self.directory.remove("e2", 10.0)
+        self.assertEqual(self.ids(), ["e1"])
+
     def test_the_end_of_a_registration_counts_at_once_in_calm(self) -> None:
         self.assertTrue(self.directory.remove("e1", 10.0))
         self.assertEqual(self.ids(), [])
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -156,6 +156,17 @@
         self.assertIs(ready, waiting)
         self.assertIsInstance(decision, TurnAway)
 
+    def test_an_engine_that_is_empty_is_waited_for_as_long_as_its_model_takes(self) -> None:
+        found = dispatcher(endpoint("e1"), states=(state(0.0, resident={}),))
+        self.assertIsInstance(found.decide(ticket(ends_ms=2500.0), 0.0), WaitFor)
+        self.assertIsInstance(found.decide(ticket(ends_ms=2000.0), 0.0), TurnAway)
+
+    def test_a_model_on_its_way_is_waited_for_half_as_long(self) -> None:
+        empty = state(0.0, resident={}, on_the_way={(MODEL, ""): 0})
+        found = dispatcher(endpoint("e1"), states=(empty,))
+        self.assertIsInstance(found.decide(ticket(ends_ms=1500.0), 0.0), WaitFor)
+        self.assertIsInstance(found.decide(ticket(ends_ms=1000.0), 0.0), TurnAway)
+
 
 class TestTable(unittest.TestCase):
     """The configuration in force never goes back."""
