Share among entries what came of their requests at each endpoint

A failure moves an entry's requests elsewhere, but each of five entries had to see its own at each of eleven engines, with two requests a second there. Tried first: a failed stream weighs 6000 ms instead of 1500. Chosen: tellings carry how many requests were answered and failed, in total, so that a lost datagram loses nothing. Others' outcomes make a ratio of their own; the larger one counts, since an endpoint may fail for some callers only. After two failures among few requests a load elsewhere is better. An answer of 500 no longer counts as answered first.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -20,8 +20,8 @@
     TurnAway,
     WaitFor,
 )
-from skylarkrack.core.relay._health import Health
-from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._health import Health, Outcomes
+from skylarkrack.core.relay._load import EngineState, Load, Work
 from skylarkrack.core.relay._membership import AGENT, Contact, Membership
 from skylarkrack.core.relay._places import (
     EngineOrder,
@@ -73,6 +73,7 @@
     "ModelShape",
     "OrderKind",
     "OrderResult",
+    "Outcomes",
     "PlaceLimits",
     "Places",
     "Quota",
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -6,8 +6,8 @@
 from skylarkrack._errors import Code
 from skylarkrack.core.relay._call import Call, ModelNeed
 from skylarkrack.core.relay._directory import Directory, Endpoint
-from skylarkrack.core.relay._health import Health
-from skylarkrack.core.relay._load import EngineState, Load
+from skylarkrack.core.relay._health import Health, Outcomes
+from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load, Work
 from skylarkrack.core.relay._placement import Beliefs, Candidate, candidates
 from skylarkrack.core.relay._places import Want
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
@@ -183,6 +183,15 @@
             )
         return wanted
 
+    def own_work(self, now_ms: float) -> dict[Key, Work]:
+        """Return this entry's work by endpoint, for other entries."""
+        work_by_key = self.load.own(now_ms)
+        for key, reserved in self._reserved_by_key(now_ms).items():
+            work_by_key[key] = replace(work_by_key.get(key, Work()), reserved=reserved)
+        for key, outcomes in self.health.outcomes(now_ms).items():
+            work_by_key[key] = replace(work_by_key.get(key, Work()), outcomes=outcomes)
+        return work_by_key
+
     def shape_of(self, endpoint: Endpoint) -> EngineShape | None:
         """Return what an engine can hold by the configuration; None for a plain endpoint."""
         service = None if self.table is None else self.table.service_by_name.get(endpoint.service)
@@ -199,6 +208,13 @@
 
     # Commands
 
+    def told_work(self, entry: str, work_by_key: dict[Key, Work], now_ms: float) -> None:
+        """Take another entry's work, and what came of its requests."""
+        self.load.told(entry, work_by_key, now_ms=now_ms)
+        for key, work in work_by_key.items():
+            if work.outcomes != Outcomes():
+                self.health.told(entry, key, work.outcomes, now_ms)
+
     @singledispatchmethod
     def observe(self, event: object) -> bool:
         """Take an event; tell whether it changed what is believed."""
--- a/src/skylarkrack/core/relay/_health.py
+++ b/src/skylarkrack/core/relay/_health.py
@@ -1,6 +1,11 @@
-"""What an entry learns of an endpoint from its own requests, and how long it stays away from it."""
+"""What entries learn of an endpoint from their requests, and how long they stay away from it.
 
-from dataclasses import dataclass
+The load pattern that this answers: endpoints that fail a part of their requests while they pass
+for healthy. One entry has few requests at each endpoint, so entries share what came of them. What
+an entry saw itself counts by itself: an endpoint may fail for some callers only.
+"""
+
+from dataclasses import dataclass, field, replace
 
 LATENCY_WEIGHT = 0.15
 """Weight of the newest latency in the running mean."""
@@ -8,6 +13,15 @@
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in the running failure ratio."""
 
+TOLD_WEIGHT = 0.1
+"""Weight of each outcome at another entry; all of them together have several times as many."""
+
+MOST_AT_ONCE = 30
+"""Outcomes counted of one telling; more of them don't change the ratio any further."""
+
+TOLD_AGAIN_MS = 1000.0
+"""Outcomes are told for so long after the last of them: several tellings, if one is lost."""
+
 FAILURE_HALF_LIFE_MS = 3000.0
 """An endpoint that gets no requests is tried again by and by."""
 
@@ -16,11 +30,38 @@
 """Pauses after connections that could not be made; doubled each time up to the longest."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outcomes:
+    """Requests of one entry to one endpoint since the entry's start."""
+
+    answered: int = 0
+    failed: int = 0
+
+
+@dataclass(slots=True)
+class _Ratio:
+    """A running failure ratio, fading while nothing is heard."""
+
+    value: float = 0.0
+    at_ms: float = 0.0
+
+    def now(self, now_ms: float) -> float:
+        if not self.value:
+            return 0.0
+        return self.value * 0.5 ** (max(0.0, now_ms - self.at_ms) / FAILURE_HALF_LIFE_MS)
+
+    def add(self, *, is_failure: bool, weight: float, now_ms: float) -> None:
+        self.value = self.now(now_ms) * (1 - weight) + (weight if is_failure else 0.0)
+        self.at_ms = now_ms
+
+
 @dataclass(slots=True)
 class _Record:
     latency_ms: float | None = None
-    failure_ratio: float = 0.0
-    failed_at_ms: float = 0.0
+    own: _Ratio = field(default_factory=_Ratio)
+    told: _Ratio = field(default_factory=_Ratio)
+    outcomes: Outcomes = Outcomes()
+    outcomes_by_entry: dict[str, Outcomes] = field(default_factory=dict)
     paused_until_ms: float = 0.0
     pause_ms: float = 0.0
 
@@ -41,12 +82,17 @@
         return record is not None and now_ms < record.paused_until_ms
 
     def failure_ratio(self, key: tuple[str, int], now_ms: float) -> float:
-        """Return the share of failures, fading while nothing is tried."""
+        """Return the share of failures, here or at the other entries, whichever is more."""
         record = self._record_by_key.get(key)
-        if record is None or not record.failure_ratio:
-            return 0.0
-        age_ms = max(0.0, now_ms - record.failed_at_ms)
-        return record.failure_ratio * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+        return 0.0 if record is None else max(record.own.now(now_ms), record.told.now(now_ms))
+
+    def outcomes(self, now_ms: float) -> dict[tuple[str, int], Outcomes]:
+        """Return what came of this entry's requests where some ended lately."""
+        return {
+            key: record.outcomes
+            for key, record in self._record_by_key.items()
+            if record.own.at_ms and now_ms - record.own.at_ms < TOLD_AGAIN_MS
+        }
 
     def latency_ms(self, key: tuple[str, int]) -> float | None:
         """Return the mean time to the first byte, or None before the first answer."""
@@ -62,16 +108,27 @@
             record.latency_ms = latency_ms
         else:
             record.latency_ms += LATENCY_WEIGHT * (latency_ms - record.latency_ms)
-        record.failure_ratio = self.failure_ratio(key, now_ms) * (1 - FAILURE_WEIGHT)
-        record.failed_at_ms = now_ms
+        record.own.add(is_failure=False, weight=FAILURE_WEIGHT, now_ms=now_ms)
+        record.outcomes = replace(record.outcomes, answered=record.outcomes.answered + 1)
         record.pause_ms = record.paused_until_ms = 0.0
 
     def failed(self, key: tuple[str, int], now_ms: float) -> None:
         """Count a refusal, an error, or an answer that broke off."""
         record = self._record(key)
-        ratio = self.failure_ratio(key, now_ms)
-        record.failure_ratio = ratio + FAILURE_WEIGHT * (1 - ratio)
-        record.failed_at_ms = now_ms
+        record.own.add(is_failure=True, weight=FAILURE_WEIGHT, now_ms=now_ms)
+        record.outcomes = replace(record.outcomes, failed=record.outcomes.failed + 1)
+
+    def told(self, entry: str, key: tuple[str, int], outcomes: Outcomes, now_ms: float) -> None:
+        """Take what came of another entry's requests; the first telling is where it begins."""
+        record = self._record(key)
+        known = record.outcomes_by_entry.get(entry)
+        record.outcomes_by_entry[entry] = outcomes
+        if known is None:
+            return
+        for _ in range(min(MOST_AT_ONCE, outcomes.answered - known.answered)):
+            record.told.add(is_failure=False, weight=TOLD_WEIGHT, now_ms=now_ms)
+        for _ in range(min(MOST_AT_ONCE, outcomes.failed - known.failed)):
+            record.told.add(is_failure=True, weight=TOLD_WEIGHT, now_ms=now_ms)
 
     def unreachable(self, key: tuple[str, int], now_ms: float) -> None:
         """Count a connection that could not be made; the pauses grow."""
--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -1,7 +1,9 @@
 """How much work is under way at each endpoint: this entry's own, and what others told."""
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from skylarkrack.core.relay._health import Outcomes
 
 READING_WINDOW_MS = 300.0
 """Time over which prompts sent to one engine are added up: the pause that streams may have."""
@@ -26,7 +28,26 @@
     spare_places: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """One entry's work at one endpoint.
+
+    *tokens* is what its *runs* may take of the engine's memory. *prompts* are the prompt tokens
+    sent within the window; *reserved* those of a request that waits until they can be read.
+    *outcomes* is what came of its requests there.
+    """
+
+    runs: int = 0
+    tokens: int = 0
+    prompts: int = 0
+    reserved: int = 0
+    outcomes: Outcomes = Outcomes()
+
+
+_NO_WORK = Work()
+
+
+@dataclass(frozen=True, slots=True)
 class _Told:
     received_ms: float
     work_by_key: dict[Key, Work]
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -44,8 +44,9 @@
 """Prompt tokens sent to one engine within the window. Between two events of a stream lie several
 steps, each with a piece of the prompts being read: with more, streams pause for too long."""
 
-FAILURE_MS = 1500.0
-"""Cost of a request that fails, times the failure ratio."""
+FAILURE_MS = 2000.0
+"""Cost of a request that fails, times the failure ratio. After two failures among few requests it
+is above that of an adapter's load elsewhere, after one it isn't."""
 
 RANK_MS = 4.0
 """Cost of each lower place in the adapter's rendezvous order, so that homes are stable."""
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -303,8 +303,9 @@
 
     *granted* holds the tokens granted since the start by organisation: all where *is_complete*,
     else those that changed lately. *loads* holds rows of [endpoint's digest, runs, tokens, prompt
-    tokens just sent]. *table_version* is the configuration in force and *announced* the sum of the
-    adapters' versions: who holds less asks at *status* for the rest.
+    tokens just sent, prompt tokens reserved, requests answered, requests failed].
+    *table_version* is the configuration in force and *announced* the sum of the adapters'
+    versions: who holds less asks at *status* for the rest.
     *suspects* holds rows of [request's fingerprint, crashes of endpoints that it ran at].
     """
 
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -6,6 +6,8 @@
     Endpoint,
     EngineHeard,
     EngineState,
+    Outcomes,
+    Work,
     digest_of_endpoint,
 )
 from skylarkrack.messages import AdapterDemand, EngineTold, RelayState
@@ -117,15 +119,9 @@
         )
         self._parts.crashes.told(message.suspects, now_ms)
         directory = self._parts.desk.dispatcher.directory
-        rows = [(directory.key_of(row[0]), *row[1:]) for row in message.loads]
-        known = [row for row in rows if row[0] is not None]
-        self._parts.desk.dispatcher.load.told(
-            message.vm,
-            runs={row[0]: row[1] for row in known},
-            tokens={row[0]: row[2] for row in known},
-            prompts={row[0]: row[3] for row in known},
-            now_ms=now_ms,
-        )
+        rows = [(directory.key_of(row[0]), row) for row in message.loads]
+        work_by_key = {key: _work_of(row) for key, row in rows if key is not None}
+        self._parts.desk.dispatcher.told_work(message.vm, work_by_key, now_ms)
 
     def _hear_engine(self, message: EngineTold, now_ms: float) -> None:
         known = self._heard_by_endpoint.get(message.endpoint)
@@ -157,8 +153,7 @@
         self._peers.call_silent(now_ms)
 
     def _tell_entries(self, now_ms: float) -> None:
-        load = self._parts.desk.dispatcher.load
-        own = load.own()
+        own = self._parts.desk.dispatcher.own_work(now_ms)
         entries = [contact.address for contact in self._peers.alive(ENTRY)]
         pace = max(1.0, len(entries) / ENTRIES_AT_FULL_PACE)
         pause_ms = min(IDLE_TELL_MS, BUSY_TELL_MS * pace) if own else IDLE_TELL_MS
@@ -183,10 +178,7 @@
             granted=granted,
             is_complete=is_complete,
             suspects=self._parts.crashes.telling(),
-            loads=[
-                [digest_of_endpoint(key), runs, tokens, load.own_prompts(key, now_ms)]
-                for key, (runs, tokens) in own.items()
-            ],
+            loads=[[digest_of_endpoint(key), *_row_of(work)] for key, work in own.items()],
         )
         self._peers.send(state, *entries)
 
@@ -253,3 +245,26 @@
             heard=heard,
         )
         self._peers.send(demand, address)
+
+
+def _row_of(work: Work) -> tuple[int, ...]:
+    outcomes = work.outcomes
+    return (
+        work.runs,
+        work.tokens,
+        work.prompts,
+        work.reserved,
+        outcomes.answered,
+        outcomes.failed,
+    )
+
+
+def _work_of(row: list) -> Work:
+    _, runs, tokens, prompts, reserved, answered, failed = row
+    return Work(
+        runs=runs,
+        tokens=tokens,
+        prompts=prompts,
+        reserved=reserved,
+        outcomes=Outcomes(answered=answered, failed=failed),
+    )
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -50,6 +50,7 @@
         "_parts",
         "_request",
         "_responder",
+        "_sent_ms",
         "state",
         "ticket",
     )
@@ -65,6 +66,7 @@
         self._events = EventStream() if ticket.route.is_stream else None
         self._last: SendTo | None = None
         self._log = ExchangeLog(parts, ticket)
+        self._sent_ms = 0.0
         self.state = "placing"
 
     @property
@@ -161,8 +163,7 @@
                 health.unreachable(endpoint.key, now_ms)
                 self._parts.crashes.died(endpoint.key, now_ms)
             raise _TryAgain(str(error), was_sent=error.sent, may_have_run=error.sent) from error
-        if not route.is_stream:
-            health.answered(endpoint.key, monotonic_ms() - now_ms, monotonic_ms())
+        self._sent_ms = now_ms
         return response
 
     def _is_own(self, headers: list) -> bool:
@@ -192,12 +193,15 @@
         if verdict.was_not_run:
             await self._turned_away(response, endpoint, verdict)
         is_good = response.status < _SERVER_ERROR
-        if not is_good:
-            self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
         if self._events is not None and is_good:
             await self._pass_stream(response, placed, verdict)
+            return
+        health, now_ms = self._parts.desk.dispatcher.health, monotonic_ms()
+        if is_good:
+            health.answered(endpoint.key, now_ms - self._sent_ms, now_ms)
         else:
-            await self._pass_whole(response, placed, verdict)
+            health.failed(endpoint.key, now_ms)
+        await self._pass_whole(response, placed, verdict)
 
     async def _turned_away(
         self, response: ClientResponse, endpoint: Endpoint, verdict: Verdict
--- /dev/null
+++ b/tests/test_relay_health.py
@@ -0,0 +1,82 @@
+"""What entries learn of endpoints that fail a part of their requests."""
+
+import random
+import unittest
+
+from skylarkrack.core.relay import Health, Outcomes
+
+KEY = ("10.0.0.1:8001", 1000)
+ENTRIES = 5
+FAILING_PART = 0.45
+WORTH_A_LOAD = 0.15
+"""Failure ratio at which a load elsewhere is better: 300 of 2000 ms."""
+
+
+class TestHealth(unittest.TestCase):
+    """Failure ratios of one entry."""
+
+    def test_failures_fade(self) -> None:
+        health = Health()
+        health.failed(KEY, 0.0)
+        self.assertGreater(health.failure_ratio(KEY, 0.0), WORTH_A_LOAD)
+        self.assertLess(health.failure_ratio(KEY, 9000.0), WORTH_A_LOAD / 2)
+
+    def test_what_others_answered_does_not_hide_own_failures(self) -> None:
+        health, told = Health(), Outcomes()
+        for round_number in range(1, 30):
+            told = Outcomes(answered=10 * round_number, failed=0)
+            health.told("n2", KEY, told, 100.0 * round_number)
+            health.failed(KEY, 100.0 * round_number)
+        self.assertGreater(health.failure_ratio(KEY, 3000.0), WORTH_A_LOAD)
+
+    def test_totals_are_counted_from_the_first_telling(self) -> None:
+        health = Health()
+        health.told("n2", KEY, Outcomes(answered=0, failed=500), 0.0)
+        self.assertEqual(health.failure_ratio(KEY, 0.0), 0.0)
+
+    def test_an_entry_that_started_anew_begins_again(self) -> None:
+        health = Health()
+        for failed in (500, 0, 1):
+            health.told("n2", KEY, Outcomes(answered=0, failed=failed), 0.0)
+        self.assertAlmostEqual(health.failure_ratio(KEY, 0.0), 0.1)
+
+    def test_outcomes_are_told_for_a_while(self) -> None:
+        health = Health()
+        health.answered(KEY, 50.0, 100.0)
+        self.assertEqual(health.outcomes(200.0), {KEY: Outcomes(answered=1, failed=0)})
+        self.assertEqual(health.outcomes(5000.0), {})
+
+
+class TestEndpointThatFailsInPart(unittest.TestCase):
+    """Each of five entries sends it two requests a second, and nearly half of them fail."""
+
+    def failures(self, seed: int, *, share: bool) -> int:
+        """Return the failures of all entries in ten seconds."""
+        chance, totals = random.Random(seed), [Outcomes() for _ in range(ENTRIES)]
+        entries = [Health() for _ in range(ENTRIES)]
+        failures, now_ms = 0, 0.0
+        while now_ms < 10_000.0:
+            now_ms += 100.0
+            for number, entry in enumerate(entries):
+                if entry.failure_ratio(KEY, now_ms) > WORTH_A_LOAD or chance.random() > 0.2:
+                    continue
+                if chance.random() < FAILING_PART:
+                    failures += 1
+                    entry.failed(KEY, now_ms)
+                else:
+                    entry.answered(KEY, 50.0, now_ms)
+                totals[number] = entry.outcomes(now_ms)[KEY]
+            for number, entry in enumerate(entries if share else ()):
+                for other, outcomes in enumerate(totals):
+                    if other != number:
+                        entry.told(f"n{other}", KEY, outcomes, now_ms)
+        return failures
+
+    def test_entries_that_share_lose_fewer_requests(self) -> None:
+        alone = sum(self.failures(seed, share=False) for seed in range(20))
+        shared = sum(self.failures(seed, share=True) for seed in range(20))
+        self.assertLess(shared, alone)
+
+
+if __name__ == "__main__":
+    unittest.main()
