Count an endpoint as failing when it has not begun to answer

Cause: engines that hang a part of their requests were chosen again and again: their callers leave after 2.4 s, or the entry's time is up, and neither told the entry anything. Done: after twice the route's objective without a beginning the endpoint counts one failure, which is logged (706) and told to other entries; the request itself goes on, and its answer counts too. Considered: a failure when the caller leaves (later, and callers leave for other reasons), and sending the request elsewhere as well (streams may mostly run only once). Test that failed first: TestRepeats.test_an_endpoint_that_keeps_silent_is_passed_over.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -19,6 +19,10 @@
 ANSWER_SLACK_MS = 60.0
 """Time beyond a request's end for the endpoint's own answer to arrive."""
 
+OVERDUE_OBJECTIVES = 2.0
+"""An endpoint that has not begun to answer after so many of the route's objectives counts as
+failing then: its caller may leave without a sign of what was wrong."""
+
 FRESH_AFTER_IDLE_MS = 1000.0
 """A request that may not be repeated uses no connection that was idle for longer: the endpoint may
 drop idle connections unannounced, and the request would be lost with an unknown outcome."""
@@ -47,6 +51,7 @@
         "_events",
         "_last",
         "_log",
+        "_overdue",
         "_parts",
         "_request",
         "_responder",
@@ -65,6 +70,7 @@
         self._attempts = Attempts(ticket.route, parts.retries_of(ticket.service_name))
         self._events = EventStream() if ticket.route.is_stream else None
         self._last: SendTo | None = None
+        self._overdue: asyncio.TimerHandle | None = None
         self._log = ExchangeLog(parts, ticket)
         self._sent_ms = 0.0
         self.state = "placing"
@@ -125,6 +131,9 @@
         load.began(endpoint.key, tokens=tokens, model=model, adapter=adapter)
         if need is not None:
             load.sent_prompt(endpoint.key, need.prompt_tokens, monotonic_ms())
+        self._overdue = asyncio.get_running_loop().call_later(
+            OVERDUE_OBJECTIVES * self.ticket.route.objective_ms / 1000, self._is_overdue, endpoint
+        )
         try:
             response = await self._send(placed)
             try:
@@ -132,6 +141,7 @@
             finally:
                 response.close()
         finally:
+            self._overdue.cancel()
             load.ended(endpoint.key, tokens=tokens, model=model, adapter=adapter)
             if self._parts.desk.dispatcher.waiting_count():
                 asyncio.get_running_loop().call_soon(self._parts.desk.wake)
@@ -196,6 +206,7 @@
         if self._events is not None and is_good:
             await self._pass_stream(response, placed, verdict)
             return
+        self._overdue.cancel()
         health, now_ms = self._parts.desk.dispatcher.health, monotonic_ms()
         if is_good:
             health.answered(endpoint.key, now_ms - self._sent_ms, now_ms)
@@ -260,6 +271,7 @@
                     continue
                 if is_first:
                     is_first = False
+                    self._overdue.cancel()
                     health.answered(endpoint.key, monotonic_ms() - sent_ms, monotonic_ms())
                 self._pass_events(response, whole)
         except (LinkLost, ValueError) as error:
@@ -280,6 +292,11 @@
         self._responder.send(events)
         self._log.events_passed()
 
+    def _is_overdue(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint has not begun to answer; the request goes on."""
+        self._parts.desk.dispatcher.health.failed(endpoint.key, monotonic_ms())
+        self._log.overdue(endpoint)
+
     def _lost_at(self, endpoint: Endpoint) -> None:
         """Note an answer that was lost; the endpoint may have died of the request."""
         now_ms = monotonic_ms()
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -4,7 +4,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import Attempts, SendTo, Ticket
+from skylarkrack.core.relay import Attempts, Endpoint, SendTo, Ticket
 from skylarkrack.relay._parts import EntryParts
 
 _SERVER_ERROR = 500
@@ -46,6 +46,16 @@
         )
         self._parts.metrics.count("retried_total", self._ticket.service_name)
 
+    def overdue(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint has not begun to answer."""
+        log(
+            Event.ENDPOINT_OVERDUE,
+            request=self._ticket.call.request_id,
+            endpoint=endpoint.endpoint_id,
+            waited_ms=round(monotonic_ms() - self._ticket.call.arrived_ms),
+        )
+        self._parts.metrics.count("overdue_total", self._ticket.service_name)
+
     def events_passed(self) -> None:
         """Note events that are handed to the caller."""
         now_ms = monotonic_ms()
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -204,6 +204,12 @@
                     second = await rig.ask(request(request_id="r2"))
                 self.assertIn(200, (status_of(first), status_of(second)))
 
+    async def test_an_endpoint_that_keeps_silent_is_passed_over(self) -> None:
+        mute, sound = PlatformWorker([silence()]), PlatformWorker([answer()])
+        async with Rig(mute, sound) as rig:
+            got = [status_of(await rig.ask(request(request_id=f"r{n}"))) for n in range(3)]
+        self.assertEqual(got, [504, 200, 200])
+
     async def test_a_resumable_stream_goes_on_after_the_last_whole_event(self) -> None:
         one, two = (PlatformWorker([resumable(EVENTS, breaks_after=1)]) for _ in range(2))
         async with Rig(one, two, service="llm") as rig:
