--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -32,6 +32,7 @@
     Places,
     Want,
 )
+from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._table import (
     CallerLimits,
     EngineShape,
@@ -76,6 +77,7 @@
     "Outcomes",
     "PlaceLimits",
     "Places",
+    "Policy",
     "Quota",
     "Route",
     "RoutingTable",
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -10,6 +10,7 @@
 from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load, Work
 from skylarkrack.core.relay._placement import Beliefs, Candidate, candidates
 from skylarkrack.core.relay._places import Want
+from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
 
 Key = tuple[str, int]
@@ -127,6 +128,7 @@
     __slots__ = (
         "_denied_by_key",
         "_kept_by_address",
+        "_policy",
         "_state_by_key",
         "_version_by_adapter",
         "_waiting",
@@ -137,8 +139,9 @@
         "table",
     )
 
-    def __init__(self, *, domain: str) -> None:
+    def __init__(self, *, domain: str, policy: Policy | None = None) -> None:
         self.domain = domain
+        self._policy = policy or Policy()
         self.table: RoutingTable | None = None
         self.directory = Directory()
         self.health = Health()
@@ -256,7 +259,7 @@
 
     def next_ready(self, now_ms: float) -> tuple[Ticket, SendTo | TurnAway] | None:
         """Take out the first waiting request that can be sent or has to be refused now."""
-        for ticket in sorted(self._waiting, key=lambda ticket: ticket.order):
+        for ticket in sorted(self._waiting, key=self._turn_of):
             decision = self.decide(ticket, now_ms)
             if isinstance(decision, WaitFor):
                 ticket.waits_at = decision.key
@@ -318,11 +321,15 @@
             wanted_by_key=wanted,
             reserved_by_key={} if for_overdue else self._reserved_by_key(now_ms),
             is_overdue=for_overdue,
+            routing=self._policy.routing,
             missing_ids=self.directory.missing_ids(),
             domain=self.domain,
             now_ms=now_ms,
         )
 
+    def _turn_of(self, ticket: Ticket) -> tuple[int, float]:
+        return ticket.order if self._policy.is_urgent_first else (0, ticket.call.arrived_ms)
+
     def _choose(self, ticket: Ticket, ranked: list[Candidate], now_ms: float) -> Decision:
         best = ranked[0]
         if best.is_ready:
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -7,8 +7,10 @@
 """
 
 from dataclasses import dataclass
+from functools import singledispatch
 
 from skylarkrack.core._hashing import rendezvous_order
+from skylarkrack.core._routing import HashOnly, LeastCost, LeastLoaded
 from skylarkrack.core.relay._call import ModelNeed
 from skylarkrack.core.relay._directory import Endpoint
 from skylarkrack.core.relay._health import Health
@@ -78,14 +80,40 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Candidate:
-    """An endpoint with its expected delay. *is_ready* means that it can be sent to now."""
+    """An endpoint with its expected delay. *is_ready* means that it can be sent to now.
+
+    *rank* is its place in the adapter's rendezvous order, and *runs* what is under way there.
+    """
 
     endpoint: Endpoint
     cost_ms: float
     is_ready: bool
+    runs: int
+    rank: int = 0
     version: int | None = None
 
 
+@singledispatch
+def preferred(routing: object, found: list[Candidate]) -> list[Candidate]:
+    """Return the candidates that a request may go to, the best first."""
+    raise TypeError(f"no routing policy: {type(routing).__name__}")
+
+
+@preferred.register
+def _(routing: LeastCost, found: list[Candidate]) -> list[Candidate]:
+    return sorted(found, key=lambda candidate: candidate.cost_ms)
+
+
+@preferred.register
+def _(routing: LeastLoaded, found: list[Candidate]) -> list[Candidate]:
+    return [min(found, key=lambda candidate: (candidate.runs, candidate.rank))]
+
+
+@preferred.register
+def _(routing: HashOnly, found: list[Candidate]) -> list[Candidate]:
+    return [min(found, key=lambda candidate: (candidate.rank, candidate.cost_ms))]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Beliefs:
     """All that a placement depends on.
@@ -104,6 +132,7 @@
     missing_ids: frozenset[str]
     reserved_by_key: dict[tuple[str, int], int]
     is_overdue: bool
+    routing: LeastCost | LeastLoaded | HashOnly
     domain: str
     now_ms: float
 
@@ -111,7 +140,7 @@
 def candidates(
     endpoints: list[Endpoint], service: Service, need: ModelNeed | None, beliefs: Beliefs
 ) -> list[Candidate]:
-    """Return *endpoints* by expected delay, the least first."""
+    """Return the endpoints that the request may go to, the best first."""
     if service.engine is None or need is None:
         found = [_plain(endpoint, beliefs) for endpoint in endpoints]
     else:
@@ -122,7 +151,7 @@
             _engine(endpoint, service, need, rank_by_id[endpoint.endpoint_id], beliefs)
             for endpoint in endpoints
         ]
-    return sorted(found, key=lambda candidate: candidate.cost_ms)
+    return preferred(beliefs.routing, found)
 
 
 def _base_ms(endpoint: Endpoint, beliefs: Beliefs) -> float:
@@ -147,7 +176,7 @@
     if is_paused:
         cost_ms += PAUSED_MS
     is_ready = not is_paused and runs < 2 * max(1, endpoint.slots)
-    return Candidate(endpoint=endpoint, cost_ms=cost_ms, is_ready=is_ready)
+    return Candidate(endpoint=endpoint, cost_ms=cost_ms, is_ready=is_ready, runs=runs)
 
 
 def _engine(
@@ -178,7 +207,12 @@
     if version is None:
         is_ready = False
     return Candidate(
-        endpoint=endpoint, cost_ms=cost_ms + load_ms, is_ready=is_ready, version=version
+        endpoint=endpoint,
+        cost_ms=cost_ms + load_ms,
+        is_ready=is_ready,
+        runs=runs,
+        rank=rank,
+        version=version,
     )
 
 
--- a/src/skylarkrack/core/relay/_usage.py
+++ b/src/skylarkrack/core/relay/_usage.py
@@ -7,7 +7,7 @@
 partition then grants no more than its own parts, however long the partition lasts.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from skylarkrack.core.relay._table import Quota
 
@@ -60,11 +60,20 @@
 
 
 class Usage:
-    """The buckets as one entry believes them. Times are ms on a monotonic clock."""
+    """The buckets as one entry believes them. Times are ms on a monotonic clock.
 
-    __slots__ = ("_granted_by_organisation", "_level_by_organisation", "_peer_by_name")
+    Without *is_shared* every entry has an equal part, the baseline to measure against.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "_granted_by_organisation",
+        "_is_shared",
+        "_level_by_organisation",
+        "_peer_by_name",
+    )
+
+    def __init__(self, *, is_shared: bool = True) -> None:
+        self._is_shared = is_shared
         self._granted_by_organisation: dict[str, float] = {}
         self._level_by_organisation: dict[str, _Level] = {}
         self._peer_by_name: dict[str, _Peer] = {}
@@ -75,6 +84,11 @@
         """Return what this process granted since its start, by organisation."""
         return dict(self._granted_by_organisation)
 
+    def level(self, organisation: str) -> float:
+        """Return what is in an organisation's bucket; below 0 where too much was granted."""
+        found = self._level_by_organisation.get(organisation)
+        return 0.0 if found is None else found.level
+
     def wait_ms(self, organisation: str, quota: Quota) -> float:
         """Return how long until the bucket is no longer empty."""
         level = self._level_by_organisation.get(organisation)
@@ -88,6 +102,8 @@
         """Grant *amount* if the bucket isn't empty; tell whether it was granted."""
         if quota.rate_per_s <= 0:
             return True
+        if not self._is_shared:
+            quota = self._equal_part(quota)
         level = self._advance(organisation, quota, now_ms)
         if level.level <= 0:
             return False
@@ -124,7 +140,7 @@
         is_counted = is_restart or (known is not None and known.is_complete)
         for organisation, total in granted.items():
             level = self._level_by_organisation.get(organisation)
-            if level is not None and (is_counted or organisation in before):
+            if self._is_shared and level is not None and (is_counted or organisation in before):
                 level.settle(peer, total - before.get(organisation, 0.0))
         self._peer_by_name[peer] = _Peer(
             incarnation, now_ms, is_counted or is_complete, before | granted
@@ -136,6 +152,11 @@
             if now_ms - peer.heard_ms > FORGET_AFTER_MS:
                 del self._peer_by_name[name]
 
+    def _equal_part(self, quota: Quota) -> Quota:
+        entries = len(self._peer_by_name) + 1
+        rate_per_s, burst = quota.rate_per_s / entries, quota.burst / entries
+        return replace(quota, rate_per_s=rate_per_s, burst=burst)
+
     def _advance(self, organisation: str, quota: Quota, now_ms: float) -> _Level:
         level = self._level_by_organisation.get(organisation)
         if level is None:
@@ -144,7 +165,7 @@
         silent = [
             name
             for name, peer in self._peer_by_name.items()
-            if now_ms - peer.heard_ms > SILENT_AFTER_MS
+            if self._is_shared and now_ms - peer.heard_ms > SILENT_AFTER_MS
         ]
         part = quota.rate_per_s / (len(self._peer_by_name) + 1)
         level.advance(now_ms, silent=silent, part_per_s=part)
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 from skylarkrack._errors import FileRejected
 from skylarkrack._events import Event, log, open_log
@@ -113,14 +114,24 @@
             dropped = sink.dropped
 
 
+def _with_policy(settings: PlatformSettings, paths: list[str]) -> PlatformSettings:
+    """Return *settings* with the policies of the file that was named, if one was."""
+    if not paths:
+        return settings
+    # Checking the file takes several MB, which a process without one saves.
+    from skylarkrack.relay._policy_file import read_policy
+
+    return replace(settings, relay=replace(settings.relay, policy=read_policy(paths[0])))
+
+
 def main() -> None:
     """Start the daemon in the role named on the command line."""
-    if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
-        print(f"usage: skylarkrackd {'|'.join(ROLES)}", file=sys.stderr)
+    if len(sys.argv) not in (2, 3) or sys.argv[1] not in ROLES:
+        print(f"usage: skylarkrackd {'|'.join(ROLES)} [POLICY_FILE]", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     file = SettingsFile(settings_path())
     try:
-        settings = file.read()
+        settings = _with_policy(file.read(), sys.argv[2:])
     except (FileRejected, OSError) as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -57,14 +57,15 @@
     def __init__(self, settings: RelaySettings, *, dialect: Dialect, incarnation: str) -> None:
         self._settings = settings
         self._tasks = Tasks()
-        self._dispatcher = Dispatcher(domain=settings.domain)
+        policy = settings.policy
+        self._dispatcher = Dispatcher(domain=settings.domain, policy=policy)
         self._parts = EntryParts(
             desk=Desk(self._dispatcher),
             dialect=dialect,
             endpoints=Endpoints(),
             metrics=Metrics(),
             burn=BurnMeter(),
-            usage=Usage(),
+            usage=Usage(is_shared=policy.is_quota_shared),
             crashes=Crashes(),
             tasks=self._tasks,
             retries_by_service={},
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -120,6 +120,7 @@
             event,
             request=self._ticket.call.request_id,
             organisation=self._ticket.organisation,
+            cost=round(self._ticket.cost),
             route=self._ticket.route.name,
             table=table.version,
             took_ms=round(took_ms),
--- a/src/skylarkrack/relay/_front.py
+++ b/src/skylarkrack/relay/_front.py
@@ -21,7 +21,7 @@
 from skylarkrack.relay._dialect import Arrival, Dialect
 from skylarkrack.relay._exchange import Exchange
 from skylarkrack.relay._parts import EntryParts
-from skylarkrack.relay._refusals import write_refusal
+from skylarkrack.relay._refusals import RateExceeded, inputs_of, write_refusal
 from skylarkrack.web import Request, Responder
 
 UNREADY_RETRY_MS = 500
@@ -130,11 +130,8 @@
         if self._usage.take(member.name, cost, member.quota, now_ms):
             return cost
         wait_ms = max(MIN_QUOTA_RETRY_MS, self._usage.wait_ms(member.name, member.quota))
-        raise RequestRefused(
-            f"the rate of {member.name} is used up",
-            code=Code.RATE_EXCEEDED,
-            retry_after_ms=round(wait_ms),
-        )
+        level = self._usage.level(member.name)
+        raise RateExceeded(member, cost=cost, level=level, retry_after_ms=round(wait_ms))
 
     def _refuse(
         self, responder: Responder, refusal: RequestRefused, arrival: Arrival | None
@@ -147,6 +144,7 @@
             code=int(refusal.code),
             reason=str(refusal),
             table=None if table is None else table.version,
+            **inputs_of(refusal),
         )
         self._metrics.count("refused_total", refusal.code.name.lower())
         refusal.outcome = Outcome.NOT_RUN
--- a/src/skylarkrack/relay/_settings.py
+++ b/src/skylarkrack/relay/_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from skylarkrack.core.relay import Policy
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelaySettings:
@@ -10,7 +12,8 @@
     Addresses are `IP:port`; those that a role does not listen on are None. *seeds* are peers'
     addresses. *grace_ms* is the time from a planned stop's signal to the kill; *retry_slack* the
     fleet's retries beyond its ratio in ten seconds. With *cuts_withdrawn* a request that runs is
-    cut when its key is withdrawn; without it the answer under way ends.
+    cut when its key is withdrawn; without it the answer under way ends. *policy* is what an entry
+    decides by.
     """
 
     vm: str
@@ -24,3 +27,4 @@
     status: str | None = None
     engine: str | None = None
     cuts_withdrawn: bool = False
+    policy: Policy = Policy()
--- /dev/null
+++ b/tests/test_relay_policy_file.py
@@ -0,0 +1,83 @@
+"""The file of policies, the baselines that the repository brings, and what each does."""
+
+import unittest
+from pathlib import Path
+
+from skylarkrack._errors import FileRejected
+from skylarkrack.core import HashOnly, LeastLoaded
+from skylarkrack.core.relay import (
+    Dispatcher,
+    EngineHeard,
+    Policy,
+    SendTo,
+    TablePublished,
+    Usage,
+    WaitFor,
+)
+from skylarkrack.relay._policy_file import parse_policy, read_policy
+from tests.relay_builders import endpoint, quota, state, table, ticket
+
+BASELINES = Path(__file__).parent.parent / "deploy" / "baselines"
+
+
+def fleet(policy: Policy) -> Dispatcher:
+    """Return two engines, of which only the first holds the adapter `a1`, and has a run."""
+    found = Dispatcher(domain="east", policy=policy)
+    found.observe(TablePublished(table=table()))
+    for number, adapters in ((1, ("a1",)), (2, ())):
+        item = endpoint(f"e{number}")
+        found.directory.put(item)
+        found.observe(EngineHeard(key=item.key, state=state(0.0, *adapters)))
+    found.load.began(endpoint("e1").key, tokens=100)
+    return found
+
+
+class TestPolicyFile(unittest.TestCase):
+    """What is read and what is rejected."""
+
+    def test_the_baselines(self) -> None:
+        rows = {
+            "least-loaded": Policy(routing=LeastLoaded()),
+            "hash-only": Policy(routing=HashOnly()),
+            "even-split": Policy(is_quota_shared=False),
+            "first-come": Policy(is_urgent_first=False),
+        }
+        found = {path.stem: read_policy(str(path)) for path in BASELINES.glob("*.toml")}
+        self.assertEqual(found, rows)
+
+    def test_bad_files(self) -> None:
+        for text in ("", "[policy", "[policy]\nrouting = 'best'", "[policy]\nother = 1"):
+            with self.subTest(text=text), self.assertRaises(FileRejected):
+                parse_policy(text, file="x")
+
+
+class TestPolicies(unittest.TestCase):
+    """What the baselines do where the policy in use does something else."""
+
+    def test_least_loaded_goes_where_a_load_is_needed(self) -> None:
+        self.assertIsInstance(fleet(Policy()).decide(ticket(), 0.0), SendTo)
+        self.assertIsInstance(fleet(Policy(routing=LeastLoaded())).decide(ticket(), 0.0), WaitFor)
+
+    def test_hash_only_stays_at_a_full_engine(self) -> None:
+        for policy, moves in ((Policy(), True), (Policy(routing=HashOnly()), False)):
+            found = fleet(policy)
+            home = fleet(Policy(routing=HashOnly())).decide(ticket(), 0.0)
+            key = home.endpoint.key if isinstance(home, SendTo) else home.key
+            for _ in range(40):
+                found.load.began(key, tokens=1)
+            decision = found.decide(ticket(), 0.0)
+            at = decision.endpoint.key if isinstance(decision, SendTo) else decision.key
+            self.assertEqual(at != key, moves)
+
+    def test_an_even_split_refuses_what_others_have_left(self) -> None:
+        for is_shared in (True, False):
+            usage = Usage(is_shared=is_shared)
+            for name in ("n2", "n3"):
+                usage.heard(name, "i", {}, now_ms=0.0)
+            limit = quota(rate_per_s=300.0, burst=600.0)
+            granted = sum(usage.take("singers", 100.0, limit, 0.0) for _ in range(9))
+            self.assertEqual(granted, 3 if is_shared else 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/measures.py
@@ -0,0 +1,140 @@
+"""The brief's four measures from the logs of a fleet's entries: `python -m tools.measures FILE...`.
+
+Reads what entries write (all of them; a missing entry's grants would be missing too):
+
+* load stalls: streams that waited `STALL_MS` or more before they were sent, since an adapter had to
+  be loaded or an engine was busy, of all streams;
+* batch: runs at the endpoint when a stream was sent to it, on average and at the 95th percentile;
+* worst served: the median over the organisations of the 95th percentile to the first event, over
+  the largest of them; 1 is even, organisations with under `FEWEST` streams are left out;
+* wrongful refusals: refusals for a rate that one exact bucket over all entries would not have made,
+  of all that organisations asked for; their number and share by organisation.
+"""
+
+import statistics
+import sys
+from collections import defaultdict
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+
+from skylarkrack._log_reader import LogLine, parse_line
+
+STALL_MS = 200.0
+"""Wait from which a stream counts as stalled; an adapter from the store takes 250 ms."""
+
+FEWEST = 20
+"""Streams below which a 95th percentile says nothing."""
+
+RATE_EXCEEDED = 3001
+
+
+@dataclass(slots=True)
+class _Ask:
+    at_ms: float
+    cost: float
+    is_refused: bool
+
+
+@dataclass(slots=True)
+class Measures:
+    """What the lines told so far."""
+
+    streams: int = 0
+    stalled: set[str] = field(default_factory=set)
+    runs: list[int] = field(default_factory=list)
+    first_ms_by_organisation: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    asks_by_organisation: dict[str, list[_Ask]] = field(default_factory=lambda: defaultdict(list))
+    quota_by_organisation: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def take(self, line: LogLine) -> None:
+        """Count one line."""
+        at_ms, fields = _ms(line.at), line.fields
+        if line.name == "RELAY_WAITED" and fields["waited_ms"] >= STALL_MS:
+            self.stalled.add(fields["request"])
+        if line.name in ("RELAY_ENDED", "RELAY_BROKEN") and "first_ms" in fields:
+            self.streams += 1
+            self.runs.append(fields["runs_there"])
+            self.first_ms_by_organisation[fields["organisation"]].append(fields["first_ms"])
+        if line.name in ("RELAY_ENDED", "RELAY_BROKEN", "RELAY_REFUSED") and fields.get("cost"):
+            is_refused = fields.get("code") == RATE_EXCEEDED
+            arrived_ms = at_ms - fields.get("took_ms", 0)
+            ask = _Ask(arrived_ms, fields["cost"], is_refused)
+            self.asks_by_organisation[fields["organisation"]].append(ask)
+            if is_refused:
+                quota = (fields["rate_per_s"], fields["burst"])
+                self.quota_by_organisation[fields["organisation"]] = quota
+
+    def worst_served(self) -> float | None:
+        """Return the median organisation's 95th percentile over the worst one's."""
+        found = [
+            _percentile(values, 0.95)
+            for values in self.first_ms_by_organisation.values()
+            if len(values) >= FEWEST
+        ]
+        return statistics.median(found) / max(found) if found else None
+
+    def wrongful(self) -> dict[str, int]:
+        """Return the refusals by organisation that an exact bucket would not have made."""
+        return {
+            organisation: _wrongful(sorted(asks, key=lambda ask: ask.at_ms), *quota)
+            for organisation, quota in self.quota_by_organisation.items()
+            for asks in (self.asks_by_organisation[organisation],)
+        }
+
+    def report(self) -> list[str]:
+        """Return the report's lines."""
+        asked = sum(len(asks) for asks in self.asks_by_organisation.values())
+        wrongful = self.wrongful()
+        shown = ", ".join(f"{name} {count}" for name, count in sorted(wrongful.items()))
+        worst = self.worst_served()
+        share = sum(wrongful.values()) / asked if asked else 0.0
+        return [
+            f"load stalls       {len(self.stalled) / max(1, self.streams):.3f} of {self.streams}",
+            f"batch             {statistics.fmean(self.runs or [0]):.1f} on average, "
+            f"{_percentile(self.runs or [0], 0.95):.0f} at the 95th percentile",
+            f"worst served      {'-' if worst is None else f'{worst:.2f}'}",
+            f"wrongful refusals {share:.4f} of {asked} ({shown or 'none refused'})",
+        ]
+
+
+def _wrongful(asks: list[_Ask], rate_per_s: float, burst: float) -> int:
+    """Return the refusals that one bucket, full at the first request, would have granted.
+
+    What the fleet granted is taken from the bucket whether it was in it or not.
+    """
+    level, before_ms, found = burst, asks[0].at_ms, 0
+    for ask in asks:
+        level = min(burst, level + rate_per_s * (ask.at_ms - before_ms) / 1000)
+        before_ms = ask.at_ms
+        if not ask.is_refused:
+            level -= ask.cost
+        elif level >= ask.cost:
+            found += 1
+    return found
+
+
+def _percentile(values: list[float], part: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(part * len(values)))]
+
+
+def _ms(at: str) -> float:
+    return datetime.fromisoformat(at).timestamp() * 1000
+
+
+def measure(texts: list[str]) -> Measures:
+    """Return the measures of the lines of *texts*."""
+    found = Measures()
+    for text in texts:
+        for row in text.splitlines():
+            line = parse_line(row)
+            if line is not None:
+                found.take(line)
+    return found
+
+
+if __name__ == "__main__":
+    paths = [Path(name) for name in sys.argv[1:]]
+    print("\n".join(measure([path.read_text(errors="replace") for path in paths]).report()))
