Let what all entries hear cross to each failure domain once

Done: a telling goes to each entry of the own failure domain and to one of each other, which passes it on; which one changes each time, so a dead one loses one in some. Entries answer an engine's telling at once only where an eviction waits for that. In large fleets entries pause longer between watches of the registrations, up to 1.2 s of the 2 s in which a leaving endpoint has to be known. Ruled out: that the store's bytes count (registrations read a quarter as often: price the same). Considered: subsets of entries (less exact quotas), fewer tellings (later news). Price of it: liveness may be known only through another entry. Tests: tests.test_relay_fleet.TestTellingAll, tests.test_platform_store.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -22,7 +22,7 @@
 )
 from skylarkrack.core.relay._health import Health, Outcomes
 from skylarkrack.core.relay._load import EngineState, Load, Work
-from skylarkrack.core.relay._membership import AGENT, Contact, Membership
+from skylarkrack.core.relay._membership import AGENT, Contact, Membership, recipients
 from skylarkrack.core.relay._places import (
     EngineOrder,
     EngineReport,
@@ -93,4 +93,5 @@
     "by_host",
     "digest_of_endpoint",
     "digest_of_key",
+    "recipients",
 ]
--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -31,6 +31,19 @@
     domain: str
 
 
+def recipients(entries: list[Contact], *, domain: str, turn: int) -> list[Contact]:
+    """Return who of *entries* is sent what all are to hear, by a process in *domain*.
+
+    All in the same failure domain, and one in each other, which passes it on there. Who that is
+    changes with *turn*, so that a dead one loses a telling in some, and never two in a row.
+    """
+    by_domain: dict[str, list[Contact]] = {}
+    for contact in sorted(entries, key=lambda contact: contact.vm):
+        by_domain.setdefault(contact.domain, []).append(contact)
+    near = by_domain.pop(domain, [])
+    return near + [group[turn % len(group)] for group in by_domain.values()]
+
+
 @dataclass(slots=True)
 class _Member:
     contact: Contact
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -354,7 +354,8 @@
     """What the agent beside an engine tells entries, in a datagram.
 
     *resident* and *on_the_way* hold rows of [adapter, version] by model; the model itself stands
-    there under the adapter "".
+    there under the adapter "". With *is_retiring* the agent waits until entries have told that they
+    heard it.
     """
 
     vm: str
@@ -367,6 +368,7 @@
     resident: dict
     on_the_way: dict
     spare_places: int
+    is_retiring: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -1,6 +1,7 @@
 """Follows the store, and tells a listener what is published and who registers."""
 
 import asyncio
+from collections.abc import Callable
 
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack._events import Event, log
@@ -26,8 +27,12 @@
 
 GATHER_MS = 500
 """Pause between watches of the registrations: each endpoint changes its own every second, and a
-call for each change would be a hundred a second over the fleet. A leaving endpoint has to be known
-within two seconds."""
+call for each change would be a hundred a second over the fleet."""
+
+GATHER_MS_PER_ENTRY = 40
+MOST_GATHER_MS = 1200
+"""In a large fleet entries pause for longer, so that their calls grow slower than their number. A
+leaving endpoint has to be known within two seconds, and the store may need some hundred ms."""
 
 MAX_RETRY_MS = 300
 """Longest pause; who has nothing yet pauses for `RETRY_MS` only, since it can't serve before."""
@@ -38,7 +43,9 @@
 
     __slots__ = ("_gather_ms", "_is_away", "_prefix", "_store", "_task", "_tell")
 
-    def __init__(self, store: Store, prefix: str, tell: "Teller", *, gather_ms: int) -> None:
+    def __init__(
+        self, store: Store, prefix: str, tell: "Teller", *, gather_ms: Callable[[], float]
+    ) -> None:
         self._store = store
         self._prefix = prefix
         self._tell = tell
@@ -78,8 +85,7 @@
             self._back()
             self._tell.listed(listing)
             return listing.revision
-        if self._gather_ms:
-            await asyncio.sleep(self._gather_ms / 1000)
+        await asyncio.sleep(self._gather_ms() / 1000)
         changes = await self._store.watch(self._prefix, revision, wait_ms=WATCH_MS)
         self._back()
         for item in changes.items:
@@ -173,18 +179,29 @@
         return None
 
 
+def gather_ms(entries: int) -> float:
+    """Return the pause between watches of the registrations in a fleet of *entries*."""
+    return min(MOST_GATHER_MS, max(GATHER_MS, GATHER_MS_PER_ENTRY * entries))
+
+
 class StoreWatcher:
     """Follows what is published and the registrations; implements `Watcher`."""
 
     __slots__ = ("_followers", "_stores")
 
-    def __init__(self, address: str, listener: RegistryListener) -> None:
+    def __init__(
+        self, address: str, listener: RegistryListener, *, count_entries: Callable[[], int]
+    ) -> None:
+        """*count_entries* tells how many entries read the store."""
         # A connection each: a waiting watch keeps its connection to itself.
         self._stores = (Store(address), Store(address))
         self._followers = (
-            Follower(self._stores[0], PUBLISHED, Teller(listener), gather_ms=0),
+            Follower(self._stores[0], PUBLISHED, Teller(listener), gather_ms=lambda: 0.0),
             Follower(
-                self._stores[1], REGISTRATIONS, RegistrationTeller(listener), gather_ms=GATHER_MS
+                self._stores[1],
+                REGISTRATIONS,
+                RegistrationTeller(listener),
+                gather_ms=lambda: gather_ms(count_entries()),
             ),
         )
 
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -30,7 +30,9 @@
     incarnation = secrets.token_hex(8)
     if role == "entry":
         entry = RelayEntry(settings.relay, dialect=PlatformDialect(), incarnation=incarnation)
-        return entry, StoreWatcher(settings.store, entry.registry)
+        return entry, StoreWatcher(
+            settings.store, entry.registry, count_entries=entry.count_entries
+        )
     # Nothing of an agent outlasts it but the clock, so its calendar makes later fences higher.
     agent = EngineAgent(
         settings.relay,
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -105,6 +105,10 @@
             role: [contact.vm for contact in self._peers.alive(role)] for role in (ENTRY, AGENT)
         }
 
+    def count_entries(self) -> int:
+        """Return how many entries were heard lately, with this one."""
+        return len(self._peers.alive(ENTRY)) + 1
+
     # What other processes tell
 
     def _hear(self, message: object, now_ms: float) -> None:
@@ -144,11 +148,11 @@
         key = (message.endpoint, message.started_ms)
         base = (message.incarnation, message.sequence)
         self._base_by_endpoint[message.endpoint] = (base, EngineHeard(key=key, state=state))
-        if self._parts.desk.dispatcher.observe(EngineHeard(key=key, state=state)):
-            # The agent may wait to hear that an adapter is not used here any more.
+        is_news = self._parts.desk.dispatcher.observe(EngineHeard(key=key, state=state))
+        if message.is_retiring:
             self.tell_demand_soon(key)
-            if self._parts.desk.dispatcher.waiting_count():
-                self._parts.desk.wake()
+        if is_news and self._parts.desk.dispatcher.waiting_count():
+            self._parts.desk.wake()
 
     def _hear_unchanged(self, message: EngineUnchanged, now_ms: float) -> None:
         base, heard = self._base_by_endpoint.get(message.endpoint, (None, None))
@@ -175,7 +179,7 @@
 
     def _tell_entries(self, now_ms: float) -> None:
         own = self._parts.desk.dispatcher.own_work(now_ms)
-        entries = [contact.address for contact in self._peers.alive(ENTRY)]
+        entries = self._peers.alive(ENTRY)
         pace = max(1.0, len(entries) / ENTRIES_AT_FULL_PACE)
         pause_ms = min(IDLE_TELL_MS, BUSY_TELL_MS * pace) if own else IDLE_TELL_MS
         if now_ms - self._told_ms < pause_ms - TICK_MS / 2:
@@ -201,7 +205,7 @@
             suspects=self._parts.crashes.telling(),
             loads=[[digest_of_endpoint(key), *_row_of(work)] for key, work in own.items()],
         )
-        self._peers.send(state, *entries)
+        self._peers.tell_entries(state)
 
     def _granted_to_tell(self, now_ms: float) -> tuple[dict[str, float], bool]:
         """Return what changed since all was told last, or all if that was long ago."""
@@ -229,7 +233,7 @@
                 self._tell_agent(endpoint, now_ms)
 
     def tell_demand_soon(self, key: tuple[str, int]) -> None:
-        """Tell an agent at once that a request has begun to wait for it."""
+        """Tell an agent at once what is used and waited for at its engine."""
         for endpoint in self._parts.desk.dispatcher.directory.all():
             if endpoint.key == key:
                 self._tell_agent(endpoint, monotonic_ms())
--- a/src/skylarkrack/relay/_datagrams.py
+++ b/src/skylarkrack/relay/_datagrams.py
@@ -20,7 +20,8 @@
 
     __slots__ = ("_handle", "_transport", "rejected", "sent_bytes")
 
-    def __init__(self, handle: Callable[[object], None]) -> None:
+    def __init__(self, handle: Callable[[object, bytes, str], None]) -> None:
+        """*handle* is called with each message, its bytes, and the address that sent them."""
         self._handle = handle
         self._transport: asyncio.DatagramTransport | None = None
         self.rejected = 0
@@ -42,18 +43,19 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode a message and hand it on."""
+        sender = f"{address[0]}:{address[1]}"
         try:
             message = decode(data)
         except FrameRejected as error:
             self.rejected += 1
-            log(Event.DATAGRAM_REJECTED, sender=f"{address[0]}:{address[1]}", error=str(error))
+            log(Event.DATAGRAM_REJECTED, sender=sender, error=str(error))
             return
         try:
-            self._handle(message)
+            self._handle(message, data, sender)
         except (TypeError, ValueError, IndexError, KeyError) as error:
             # The rows inside a message are only checked where they are used.
             self.rejected += 1
-            log(Event.HANDLER_FAILED, sender=f"{address[0]}:{address[1]}", error=repr(error))
+            log(Event.HANDLER_FAILED, sender=sender, error=repr(error))
 
     def error_received(self, error: OSError) -> None:
         """Nobody listens there now; membership notices by the silence."""
@@ -61,7 +63,10 @@
 
     def send_to(self, message: object, addresses: tuple[str, ...]) -> None:
         """Send one message to several addresses; raises `ValueError` for one that is too large."""
-        data = encode_body(message)
+        self.pass_on(encode_body(message), addresses)
+
+    def pass_on(self, data: bytes, addresses: tuple[str, ...]) -> None:
+        """Send a message's bytes to several addresses; raises `ValueError` for too many bytes."""
         if len(data) > MAX_DATAGRAM_BYTES:
             raise ValueError(f"a datagram of {len(data)} bytes")
         for address in addresses:
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -232,9 +232,10 @@
             resident=_by_model(usable),
             on_the_way=_by_model(report.on_the_way),
             spare_places=spare,
+            is_retiring=self._places.is_retiring(),
         )
         self._places.told(self._sequence)
-        self._send(message)
+        self._peers.tell_entries(message)
 
     def _send_unchanged(self, spare: int) -> None:
         message = EngineUnchanged(
@@ -247,10 +248,7 @@
             base=self._told_as,
             spare_places=spare,
         )
-        self._send(message)
-
-    def _send(self, message: object) -> None:
-        self._peers.send(message, *(contact.address for contact in self._peers.alive(ENTRY)))
+        self._peers.tell_entries(message)
 
     async def _keep_membership(self) -> None:
         while True:
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -143,6 +143,10 @@
         """Return what this entry granted of the quotas since its start, by organisation."""
         return self._parts.usage.granted()
 
+    def count_entries(self) -> int:
+        """Return how many entries there are, with this one."""
+        return self._conversation.count_entries()
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -4,7 +4,7 @@
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import AGENT, Contact, Membership
+from skylarkrack.core.relay import AGENT, Contact, Membership, recipients
 from skylarkrack.messages import AdapterDemand, EngineTold, EngineUnchanged, RelayState, Roster
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._settings import RelaySettings
@@ -16,6 +16,7 @@
     EngineTold: AGENT,
     EngineUnchanged: AGENT,
 }
+_FOR_ALL_ENTRIES = (RelayState, EngineTold, EngineUnchanged)
 
 
 class Peers:
@@ -25,7 +26,7 @@
     new or was lost.
     """
 
-    __slots__ = ("_datagrams", "_greet", "_hear", "_membership", "own")
+    __slots__ = ("_datagrams", "_greet", "_hear", "_membership", "_turn", "own")
 
     def __init__(
         self,
@@ -43,6 +44,7 @@
         self._membership = Membership(self.own)
         self._membership.set_seeds(settings.seeds)
         self._datagrams = Datagrams(self._receive)
+        self._turn = 0
 
     # Queries
 
@@ -68,12 +70,18 @@
         """Send one message to several addresses."""
         self._datagrams.send_to(message, addresses)
 
+    def tell_entries(self, message: RelayState | EngineTold | EngineUnchanged) -> None:
+        """Send a message to every live entry, to other failure domains through one of theirs."""
+        self._turn += 1
+        found = recipients(self.alive(ENTRY), domain=self.own.domain, turn=self._turn)
+        self.send(message, *(contact.address for contact in found))
+
     def call_silent(self, now_ms: float) -> None:
         """Call the seeds that are not known yet and the members that were lost."""
         for address in self._membership.to_call(now_ms):
             self.send(self._roster(now_ms), address)
 
-    def _receive(self, message: object) -> None:
+    def _receive(self, message: object, data: bytes, source: str) -> None:
         now_ms = monotonic_ms()
         if isinstance(message, Roster):
             contacts = [
@@ -90,8 +98,17 @@
             return
         sender = Contact(vm=message.vm, address=message.address, role=role, domain=message.domain)
         self._note(sender, now_ms)
+        if source == sender.address and isinstance(message, _FOR_ALL_ENTRIES):
+            self._pass_on(sender, data)
         self._hear(message, now_ms)
 
+    def _pass_on(self, sender: Contact, data: bytes) -> None:
+        """Hand what came from another failure domain to the other entries of this one."""
+        if self.own.role != ENTRY or sender.domain == self.own.domain:
+            return
+        near = (contact for contact in self.alive(ENTRY) if contact.domain == self.own.domain)
+        self._datagrams.pass_on(data, tuple(contact.address for contact in near))
+
     def _note(self, contact: Contact, now_ms: float) -> None:
         if self._membership.heard(contact, now_ms):
             log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -124,7 +124,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.listener = Listener()
-        self.watcher = StoreWatcher(self.address, self.listener)
+        self.watcher = StoreWatcher(self.address, self.listener, count_entries=lambda: 1)
         self.platform.put("op/config", as_bytes(config(3)))
         self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
         self.platform.put("servers/i-2", b"\xff")
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import LinkLost
 from skylarkrack.core.relay import (
     Contact,
@@ -16,10 +17,12 @@
     Membership,
     OrderKind,
     OrderResult,
+    recipients,
 )
-from skylarkrack.messages import EngineTold, EngineUnchanged, Roster
+from skylarkrack.messages import EngineTold, EngineUnchanged, RelayState, Roster
 from skylarkrack.platform._headers import PlatformDialect
 from skylarkrack.relay import EngineAgent, LogSink, RelayEntry, RelaySettings
+from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.wire import encode_body
 from standins.platform_worker import PlatformWorker, stream
 from tests.platform_builders import Rig, as_bytes, config, free_address, model_request
@@ -72,6 +75,7 @@
         resident={MODEL: rows},
         on_the_way={},
         spare_places=1,
+        is_retiring=False,
     )
 
 
@@ -80,6 +84,24 @@
     return EngineUnchanged(**AGENT_FIELDS, sequence=sequence, base=base, spare_places=1)
 
 
+def relay_state(peers: Peers) -> RelayState:
+    """Return a state of an entry without requests."""
+    return RelayState(
+        vm=peers.own.vm,
+        address=peers.own.address,
+        incarnation="i",
+        sequence=1,
+        domain=peers.own.domain,
+        status="",
+        table_version=1,
+        announced=0,
+        granted={},
+        is_complete=True,
+        loads=[],
+        suspects=[],
+    )
+
+
 class ObedientEngine:
     """An engine port that carries out every order at once, or loses its answer."""
 
@@ -236,6 +258,69 @@
         self.assertEqual(await self.answer_of(*told), 200)
 
 
+class TestTellingAll(unittest.IsolatedAsyncioTestCase):
+    """What all entries are to hear crosses to another failure domain once."""
+
+    async def start(self, vm: str, domain: str, *seeds: str) -> tuple[Peers, list[str]]:
+        """Return the peers of an entry, and the VMs whose tellings it has heard."""
+        heard: list[str] = []
+        peers = Peers(
+            settings(vm, *seeds, domain=domain),
+            ENTRY,
+            hear=lambda message, now_ms: heard.append(message.vm),
+            greet=lambda contact: None,
+        )
+        await peers.start()
+        self.addCleanup(peers.close)
+        return peers, heard
+
+    async def fleet(self, *domains: str) -> list[tuple[Peers, list[str]]]:
+        """Return entries that know each other, one in each of *domains*."""
+        found = [await self.start("n0", domains[0])]
+        seed = found[0][0].own.address
+        found += [
+            await self.start(f"n{number}", domain, seed)
+            for number, domain in enumerate(domains[1:], start=1)
+        ]
+
+        def all_known() -> bool:
+            for peers, _ in found:
+                peers.call_silent(monotonic_ms())
+            return all(len(peers.alive(ENTRY)) == len(domains) - 1 for peers, _ in found)
+
+        await until(all_known)
+        return found
+
+    async def test_each_hears_it_once(self) -> None:
+        found = await self.fleet("east", "east", "west", "west", "west")
+        teller = found[0][0]
+        for _ in range(6):
+            teller.tell_entries(relay_state(teller))
+        await until(lambda: all(len(heard) >= 6 for _, heard in found[1:]))
+        await asyncio.sleep(0.05)
+        self.assertEqual([heard for _, heard in found], [[], *[["n0"] * 6] * 4])
+
+    async def test_a_dead_one_loses_a_telling_in_some(self) -> None:
+        found = await self.fleet("east", "west", "west", "west")
+        teller = found[0][0]
+        found[1][0].close()
+        for _ in range(9):
+            teller.tell_entries(relay_state(teller))
+        await until(lambda: all(len(heard) >= 6 for _, heard in found[2:]))
+        await asyncio.sleep(0.05)
+        self.assertEqual([len(heard) for _, heard in found], [0, 0, 6, 6])
+
+    def test_recipients(self) -> None:
+        entries = [
+            Contact(vm=f"n{n}", address=f"a:{n}", role=ENTRY, domain="xxyyz"[n]) for n in range(5)
+        ]
+        told = [
+            [contact.vm for contact in recipients(entries, domain="x", turn=turn)]
+            for turn in range(2)
+        ]
+        self.assertEqual(told, [["n0", "n1", "n2", "n4"], ["n0", "n1", "n3", "n4"]])
+
+
 class TestMembership(unittest.TestCase):
     """Members from seeds that may be stale, and those that are told of."""
 
