Hand tellings on only over fast links

Entries that handed on there have links of 10 Mbit/s; state heard of engines was 1,078 ms old at the 97th percentile where it had been 399, entries lost each other for over 3 s one after another (26 times in 14 s), and an eviction waits until all live entries have heard of it. Ruled out: who hands on knows too few entries (logged: all 29, each time), tellings that overtake each other, rejected datagrams (none). Done: an entry says whether it hands on, by its link in the settings; others are sent to directly. Test: TestTellingAll.test_recipients.

--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -23,25 +23,33 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Contact:
-    """A process of the system: its VM, the address it hears on, its role and failure domain."""
+    """A process of the system: its VM, the address it hears on, its role and failure domain.
+
+    *passes_on* tells that its link is fast enough to hand on what others tell.
+    """
 
     vm: str
     address: str
     role: str
     domain: str
+    passes_on: bool = False
 
 
 def recipients(entries: list[Contact], *, domain: str, turn: int) -> list[Contact]:
     """Return who of *entries* is sent what all are to hear, by a process in *domain*.
 
-    All in the same failure domain, and one in each other, which passes it on there. Who that is
-    changes with *turn*, so that a dead one loses a telling in some, and never two in a row.
+    All in the same failure domain, and one in each other that can pass it on there. Who that is
+    changes with *turn*, so that a dead one loses only some tellings. Where nobody can, all are sent
+    it: a slow link would hold up what everybody waits for.
     """
     by_domain: dict[str, list[Contact]] = {}
     for contact in sorted(entries, key=lambda contact: contact.vm):
         by_domain.setdefault(contact.domain, []).append(contact)
-    near = by_domain.pop(domain, [])
-    return near + [group[turn % len(group)] for group in by_domain.values()]
+    found = by_domain.pop(domain, [])
+    for group in by_domain.values():
+        able = [contact for contact in group if contact.passes_on]
+        found += [able[turn % len(able)]] if able else group
+    return found
 
 
 @dataclass(slots=True)
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -292,7 +292,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Roster:
-    """Who is there, in a datagram: the sender first, as [VM, address, role, failure domain]."""
+    """Who is there, in a datagram: the sender first.
+
+    *members* holds rows of [VM, address, role, failure domain, whether it passes on].
+    """
 
     members: list
 
@@ -305,7 +308,8 @@
     else those that changed lately. *loads* holds rows of [endpoint's digest, runs, tokens, prompt
     tokens just sent, prompt tokens reserved, requests answered, requests failed].
     *table_version* is the configuration in force and *announced* the sum of the adapters'
-    versions: who holds less asks at *status* for the rest.
+    versions: who holds less asks at *status* for the rest. *passes_on* tells that the entry hands
+    on what comes from other failure domains.
     *suspects* holds rows of [request's fingerprint, crashes of endpoints that it ran at].
     """
 
@@ -314,6 +318,7 @@
     incarnation: str
     sequence: int
     domain: str
+    passes_on: bool
     status: str
     table_version: int
     announced: int
@@ -338,6 +343,7 @@
     incarnation: str
     sequence: int
     domain: str
+    passes_on: bool
     endpoint_id: str
     started_ms: int
     wanted: list
--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -15,6 +15,10 @@
 
 DEFAULT_RETRY_SLACK = 50.0
 
+PASSING_LINK_MBPS = 50.0
+"""Link from which an entry hands on what others tell. A configuration of a megabyte fills one of 10
+Mbit/s for most of a second, and everything that it passes on would wait for that."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
@@ -53,6 +57,7 @@
         readiness=value_by_key.get("listen.ready"),
         status=value_by_key.get("listen.control") or f"{value_by_key['ip']}:{int(port) + 1}",
         engine=value_by_key.get("app"),
+        passes_on=_number(value_by_key, "limits.link-mbps", PASSING_LINK_MBPS) >= PASSING_LINK_MBPS,
         cuts_withdrawn=value_by_key.get("bounds.strict-revoke") == "true",
     )
     return PlatformSettings(relay=relay, store=value_by_key["platform.addr"])
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -37,7 +37,11 @@
         greet: Callable[[Contact], None],
     ) -> None:
         self.own = Contact(
-            vm=settings.vm, address=settings.peers, role=role, domain=settings.domain
+            vm=settings.vm,
+            address=settings.peers,
+            role=role,
+            domain=settings.domain,
+            passes_on=role == ENTRY and settings.passes_on,
         )
         self._hear = hear
         self._greet = greet
@@ -85,7 +89,7 @@
         now_ms = monotonic_ms()
         if isinstance(message, Roster):
             contacts = [
-                Contact(vm=row[0], address=row[1], role=row[2], domain=row[3])
+                Contact(vm=row[0], address=row[1], role=row[2], domain=row[3], passes_on=row[4])
                 for row in message.members
             ]
             self._note(contacts[0], now_ms)
@@ -96,7 +100,13 @@
         if role is None:
             log(Event.DATAGRAM_REJECTED, type=type(message).__name__)
             return
-        sender = Contact(vm=message.vm, address=message.address, role=role, domain=message.domain)
+        sender = Contact(
+            vm=message.vm,
+            address=message.address,
+            role=role,
+            domain=message.domain,
+            passes_on=role == ENTRY and message.passes_on,
+        )
         self._note(sender, now_ms)
         if source == sender.address and isinstance(message, _FOR_ALL_ENTRIES):
             self._pass_on(sender, data)
@@ -116,5 +126,8 @@
             self._greet(contact)
 
     def _roster(self, now_ms: float) -> Roster:
-        rows = [[c.vm, c.address, c.role, c.domain] for c in self._membership.telling(now_ms)]
+        rows = [
+            [c.vm, c.address, c.role, c.domain, c.passes_on]
+            for c in self._membership.telling(now_ms)
+        ]
         return Roster(members=rows)
--- a/src/skylarkrack/relay/_settings.py
+++ b/src/skylarkrack/relay/_settings.py
@@ -13,7 +13,7 @@
     addresses. *grace_ms* is the time from a planned stop's signal to the kill; *retry_slack* the
     fleet's retries beyond its ratio in ten seconds. With *cuts_withdrawn* a request that runs is
     cut when its key is withdrawn; without it the answer under way ends. *policy* is what an entry
-    decides by.
+    decides by. With *passes_on* an entry hands on to its failure domain what comes from others.
     """
 
     vm: str
@@ -28,3 +28,4 @@
     engine: str | None = None
     cuts_withdrawn: bool = False
     policy: Policy = Policy()
+    passes_on: bool = True
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -92,6 +92,7 @@
         incarnation="i",
         sequence=1,
         domain=peers.own.domain,
+        passes_on=True,
         status="",
         table_version=1,
         announced=0,
@@ -312,13 +313,17 @@
 
     def test_recipients(self) -> None:
         entries = [
-            Contact(vm=f"n{n}", address=f"a:{n}", role=ENTRY, domain="xxyyz"[n]) for n in range(5)
+            Contact(
+                vm=f"n{n}", address=f"a:{n}", role=ENTRY, domain="xxyyyzz"[n], passes_on=n in (2, 3)
+            )
+            for n in range(7)
         ]
         told = [
             [contact.vm for contact in recipients(entries, domain="x", turn=turn)]
             for turn in range(2)
         ]
-        self.assertEqual(told, [["n0", "n1", "n2", "n4"], ["n0", "n1", "n3", "n4"]])
+        rest = ["n5", "n6"]
+        self.assertEqual(told, [["n0", "n1", "n2", *rest], ["n0", "n1", "n3", *rest]])
 
 
 class TestMembership(unittest.TestCase):
