--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,6 +23,9 @@
 READY_LIMIT_S = 30.0
 STOP_LIMIT_S = 30.0
 CALL_TIMEOUT_MS = 10_000
+LOG_TAIL = 6000
+"""Characters of the logs that a failed call shows."""
+
 MODEL = "base-8b"
 READ_TIMEOUT_MS = 1000
 
@@ -241,11 +244,17 @@
     ) -> tuple[int, list, bytes]:
         """Call a process and return status, headers and body."""
         client = HttpClient(self.address(name, purpose))
-        response = await client.request(
-            method, path, headers=headers or [], body=body, timeout_ms=CALL_TIMEOUT_MS
-        )
-        whole = await response.whole(timeout_ms=CALL_TIMEOUT_MS)
-        client.close()
+        try:
+            response = await client.request(
+                method, path, headers=headers or [], body=body, timeout_ms=CALL_TIMEOUT_MS
+            )
+            whole = await response.whole(timeout_ms=CALL_TIMEOUT_MS)
+        except LinkLost as error:
+            # The folder with the logs goes with the fleet; a failure that shows once needs them.
+            error.add_note(f"logs of the fleet, the end:\n{self.log_text()[-LOG_TAIL:]}")
+            raise
+        finally:
+            client.close()
         return response.status, response.headers, whole
 
     async def stats(self, name: str) -> dict:
