Let only a configured service take an address from an earlier start

Cause, found on reading: registrations may come from another writer, with a service that nobody has configured, and name any address. Since an address belongs to its latest start, such a one would have taken a live endpoint out of service until it ended. Done: only registrations of configured services supersede others. Test that failed first (no such command, then e1 missing with the check taken out): TestDirectory.test_a_registration_of_an_unknown_service_takes_no_address. Ruled out: spoilt states and addresses, which are rejected before.

--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -52,6 +52,7 @@
         "_by_service",
         "_key_by_digest",
         "_missing_until_by_id",
+        "_services",
     )
 
     def __init__(self) -> None:
@@ -59,6 +60,7 @@
         self._by_service: dict[str, list[Endpoint]] = {}
         self._key_by_digest: dict[int, tuple[str, int]] = {}
         self._missing_until_by_id: dict[str, float] = {}
+        self._services: frozenset[str] = frozenset()
         self._away = False
         self._back_ms = float("-inf")
 
@@ -90,6 +92,11 @@
 
     # Commands
 
+    def services_known(self, names: Iterable[str]) -> None:
+        """Take the services that are configured."""
+        self._services = frozenset(names)
+        self._regroup()
+
     def registry_lost(self) -> None:
         """The registry stopped answering."""
         self._away = True
@@ -151,11 +158,14 @@
     def _regroup(self) -> None:
         latest_by_address: dict[str, int] = {}
         for endpoint in self._by_id.values():
-            latest = latest_by_address.get(endpoint.address, endpoint.started_ms)
-            latest_by_address[endpoint.address] = max(latest, endpoint.started_ms)
+            # Whoever may register can name any address; only a configured service takes one.
+            if endpoint.service in self._services:
+                latest = latest_by_address.get(endpoint.address, endpoint.started_ms)
+                latest_by_address[endpoint.address] = max(latest, endpoint.started_ms)
         grouped: dict[str, list[Endpoint]] = {}
         for endpoint in self._by_id.values():
-            is_superseded = endpoint.started_ms < latest_by_address[endpoint.address]
+            latest = latest_by_address.get(endpoint.address, endpoint.started_ms)
+            is_superseded = endpoint.started_ms < latest
             if not endpoint.is_leaving and not is_superseded:
                 grouped.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = grouped
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -228,6 +228,7 @@
         if self.table is not None and event.table.version <= self.table.version:
             return False
         self.table = event.table
+        self.directory.services_known(event.table.service_by_name)
         return True
 
     @observe.register
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -11,6 +11,7 @@
 
     def setUp(self) -> None:
         self.directory = Directory()
+        self.directory.services_known({"engines", "desk"})
         self.directory.put(endpoint("e1"))
 
     def ids(self) -> list[str]:
@@ -44,6 +45,13 @@
         self.directory.put(endpoint("e2", service="desk", address="10.0.0.1:8001", started_ms=2000))
         self.assertEqual(self.ids(), [])
 
+    def test_a_registration_of_an_unknown_service_takes_no_address(self) -> None:
+        stray = endpoint("e2", service="stray", address="10.0.0.1:8001", started_ms=2000)
+        self.directory.put(stray)
+        self.assertEqual(self.ids(), ["e1"])
+        self.directory.services_known({"engines", "desk", "stray"})
+        self.assertEqual(self.ids(), [])
+
     def test_the_start_before_serves_again_if_the_later_one_is_gone(self) -> None:
         self.directory.put(endpoint("e2", address="10.0.0.1:8001", started_ms=2000))
         self.directory.remove("e2", 10.0)
