Pass nothing on at an entry with a slow link

Cause, found on reading: an entry with a slow link said that it hands nothing on and did so all the same. Where a failure domain has only such, all are sent to directly, and each told all the others again: three times as many tellings in a domain of three, just where links are slow. Test that failed first: TestTellingAll.test_each_hears_it_once_where_nobody_can_pass_it_on ([12, 12, 12] tellings heard, not [4, 4, 4]).

--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -114,7 +114,7 @@
 
     def _pass_on(self, sender: Contact, data: bytes) -> None:
         """Hand what came from another failure domain to the other entries of this one."""
-        if self.own.role != ENTRY or sender.domain == self.own.domain:
+        if not self.own.passes_on or sender.domain == self.own.domain:
             return
         near = (contact for contact in self.alive(ENTRY) if contact.domain == self.own.domain)
         self._datagrams.pass_on(data, tuple(contact.address for contact in near))
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -262,11 +262,13 @@
 class TestTellingAll(unittest.IsolatedAsyncioTestCase):
     """What all entries are to hear crosses to another failure domain once."""
 
-    async def start(self, vm: str, domain: str, *seeds: str) -> tuple[Peers, list[str]]:
+    async def start(
+        self, vm: str, domain: str, *seeds: str, passes_on: bool = True
+    ) -> tuple[Peers, list[str]]:
         """Return the peers of an entry, and the VMs whose tellings it has heard."""
         heard: list[str] = []
         peers = Peers(
-            settings(vm, *seeds, domain=domain),
+            settings(vm, *seeds, domain=domain, passes_on=passes_on),
             ENTRY,
             hear=lambda message, now_ms: heard.append(message.vm),
             greet=lambda contact: None,
@@ -275,12 +277,12 @@
         self.addCleanup(peers.close)
         return peers, heard
 
-    async def fleet(self, *domains: str) -> list[tuple[Peers, list[str]]]:
+    async def fleet(self, *domains: str, passes_on: bool = True) -> list[tuple[Peers, list[str]]]:
         """Return entries that know each other, one in each of *domains*."""
-        found = [await self.start("n0", domains[0])]
+        found = [await self.start("n0", domains[0], passes_on=passes_on)]
         seed = found[0][0].own.address
         found += [
-            await self.start(f"n{number}", domain, seed)
+            await self.start(f"n{number}", domain, seed, passes_on=passes_on)
             for number, domain in enumerate(domains[1:], start=1)
         ]
 
@@ -301,6 +303,15 @@
         await asyncio.sleep(0.05)
         self.assertEqual([heard for _, heard in found], [[], *[["n0"] * 6] * 4])
 
+    async def test_each_hears_it_once_where_nobody_can_pass_it_on(self) -> None:
+        found = await self.fleet("east", "west", "west", "west", passes_on=False)
+        teller = found[0][0]
+        for _ in range(4):
+            teller.tell_entries(relay_state(teller))
+        await until(lambda: all(len(heard) >= 4 for _, heard in found[1:]))
+        await asyncio.sleep(0.05)
+        self.assertEqual([len(heard) for _, heard in found], [0, 4, 4, 4])
+
     async def test_a_dead_one_loses_a_telling_in_some(self) -> None:
         found = await self.fleet("east", "west", "west", "west")
         teller = found[0][0]
