Keep the pause between watches within what a silent connection allows

Cause, found on reading: 30 entries pause 1.2 s between watches; with the wait of a watch and its slack a connection that went silent was noticed after 3.3 s, and an entry that reaches the store again has to go by it within 3 s. Test that failed first: TestPauses.test_a_silent_connection_is_noticed_within_three_seconds_in_any_fleet.

--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -30,9 +30,10 @@
 call for each change would be a hundred a second over the fleet."""
 
 GATHER_MS_PER_ENTRY = 40
-MOST_GATHER_MS = 1200
+MOST_GATHER_MS = 880
 """In a large fleet entries pause for longer, so that their calls grow slower than their number. A
-leaving endpoint has to be known within two seconds, and the store may need some hundred ms."""
+leaving endpoint has to be known within two seconds, and a watch whose connection went silent adds
+`WATCH_MS` and its slack: with the pause these stay within three seconds."""
 
 MAX_RETRY_MS = 300
 """Longest pause; who has nothing yet pauses for `RETRY_MS` only, since it can't serve before."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,8 +6,8 @@
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack.platform import _store, _watch
 from skylarkrack.platform._documents import decode_table
-from skylarkrack.platform._store import HistoryLost, Store
-from skylarkrack.platform._watch import StoreWatcher
+from skylarkrack.platform._store import WATCH_SLACK_MS, HistoryLost, Store
+from skylarkrack.platform._watch import WATCH_MS, StoreWatcher, gather_ms
 from standins.platform_store import PlatformStore, StoreFaults
 from tests.platform_builders import as_bytes, config, registration
 
@@ -118,6 +118,18 @@
             _store.WATCH_SLACK_MS = slack_ms
 
 
+class TestPauses(unittest.TestCase):
+    """How long entries pause between watches of the registrations."""
+
+    def test_a_silent_connection_is_noticed_within_three_seconds_in_any_fleet(self) -> None:
+        for entries in (1, 5, 30, 3400):
+            self.assertLess(gather_ms(entries) + WATCH_MS + WATCH_SLACK_MS, 3000)
+
+    def test_large_fleets_pause_longer(self) -> None:
+        self.assertEqual(gather_ms(4), gather_ms(1))
+        self.assertGreater(gather_ms(20), gather_ms(4))
+
+
 class TestWatcher(StoreTest):
     """What a listener is told."""
 
