Name routing policies and read checked TOML in one place

Cause: the file of policies repeated the entry's table of routing policies and the settings' way from text to a checked document, line for line. Done: core/_routing.py holds ROUTING_BY_NAME, _settings.parse_document reads any checked document. Ruled out: a change of behaviour; messages, codes and defaults are the same.

--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -3,7 +3,7 @@
 import tomllib
 from ipaddress import ip_address
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
 
@@ -11,6 +11,8 @@
 from skylarkrack._problems import Problem, problems_of
 from skylarkrack.web import ServerLimits
 
+_Document = TypeVar("_Document", bound=BaseModel)
+
 
 def _is_address(value: str) -> str:
     """Accept `IP:port` with an IP number; names are not looked up."""
@@ -83,13 +85,18 @@
 
 def parse_settings(text: str, *, file: str) -> Settings:
     """Return the settings in *text*, or raise `FileRejected` with every problem."""
+    return parse_document(text, Settings, file=file)
+
+
+def parse_document(text: str, model: type[_Document], *, file: str) -> _Document:
+    """Return the TOML document in *text* as *model*, or raise `FileRejected` with every problem."""
     try:
-        return Settings.model_validate(tomllib.loads(text))
+        return model.model_validate(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
         problem = Problem(file=file, key="-", found=str(error), allowed="a TOML document")
         raise FileRejected((problem,), code=Code.BAD_SETTINGS) from error
     except ValidationError as error:
-        problems = problems_of(error, file=file, model=Settings)
+        problems = problems_of(error, file=file, model=model)
         raise FileRejected(problems, code=Code.BAD_SETTINGS) from error
 
 
--- a/src/skylarkrack/core/__init__.py
+++ b/src/skylarkrack/core/__init__.py
@@ -65,12 +65,13 @@
 from skylarkrack.core._pool import Pool, PooledShare
 from skylarkrack.core._residency import Order, ResidencyTable
 from skylarkrack.core._retry_budget import RetryBudget
-from skylarkrack.core._routing import HashOnly, LeastCost, LeastLoaded, Router
+from skylarkrack.core._routing import ROUTING_BY_NAME, HashOnly, LeastCost, LeastLoaded, Router
 from skylarkrack.core._shares import SHARE_HOLD_MS, ShareSchedule
 from skylarkrack.core._suspicion import Suspicion, fingerprint_of
 
 __all__ = [
     "ACCESS_LEASE_MS",
+    "ROUTING_BY_NAME",
     "Access",
     "AccessLease",
     "Adapter",
--- a/src/skylarkrack/core/_routing.py
+++ b/src/skylarkrack/core/_routing.py
@@ -53,6 +53,14 @@
     """Baseline: the adapter's rendezvous order, whatever the load."""
 
 
+ROUTING_BY_NAME = {
+    "least_cost": LeastCost(),
+    "least_loaded": LeastLoaded(),
+    "hash_only": HashOnly(),
+}
+"""The routing policies by their names in settings."""
+
+
 @singledispatch
 def cost_of(policy: object, view: EndpointView, served: str, rank: int) -> float:
     """Return the cost of running *served* at *view*, in milliseconds; the least is taken."""
--- a/src/skylarkrack/entry/_entry.py
+++ b/src/skylarkrack/entry/_entry.py
@@ -15,7 +15,7 @@
 from skylarkrack._settings import Settings
 from skylarkrack._status import StatusServer, StatusSources
 from skylarkrack._traces import Traces
-from skylarkrack.core import HashOnly, LeastCost, LeastLoaded, RetryBudget, Router, Suspicion
+from skylarkrack.core import ROUTING_BY_NAME, RetryBudget, Router, Suspicion
 from skylarkrack.entry._answers import refuse
 from skylarkrack.entry._budgets import Budgets
 from skylarkrack.entry._context import Context
@@ -30,12 +30,6 @@
 TICK_MS = 50
 """Interval at which budgets are advanced and open exchanges are checked for access."""
 
-_ROUTING_BY_NAME = {
-    "least_cost": LeastCost(),
-    "least_loaded": LeastLoaded(),
-    "hash_only": HashOnly(),
-}
-
 DRAIN_NOTICE_MS = 1500
 """How long a stopping entry goes on accepting after it has told the balancer not to send."""
 
@@ -70,7 +64,7 @@
                 vm=settings.vm, platform=platform, random=random, on_change=self._update
             ),
             links=links,
-            router=Router(policy=_ROUTING_BY_NAME[settings.policy.routing]),
+            router=Router(policy=ROUTING_BY_NAME[settings.policy.routing]),
             budgets=Budgets(
                 vm=settings.vm,
                 incarnation=incarnation,
