Give endpoints' keys and adapters' names one type each, and count runs by that name

Cause: the key of an endpoint's incarnation had three aliases and stood spelt out in eight modules, an adapter's name one alias and a dozen spellings; and the exchange took a need's name apart into model and adapter, with the rule for a missing adapter written again, for Load to put them together. Done: core/relay/_names.py holds both types; Load.began and Load.ended take the name that a need already has. Ruled out: a change of behaviour. One call in a test names its argument anew; its assertions are as before. Measured: the 110 tests of the relay's decisions, path and fleet pass.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -23,6 +23,7 @@
 from skylarkrack.core.relay._health import Health, Outcomes
 from skylarkrack.core.relay._load import EngineState, Load, Work
 from skylarkrack.core.relay._membership import AGENT, Contact, Membership, recipients
+from skylarkrack.core.relay._names import Key, Name
 from skylarkrack.core.relay._places import (
     EngineOrder,
     EngineReport,
@@ -67,11 +68,13 @@
     "EngineState",
     "GiveUp",
     "Health",
+    "Key",
     "Load",
     "Member",
     "Membership",
     "ModelNeed",
     "ModelShape",
+    "Name",
     "OrderKind",
     "OrderResult",
     "Outcomes",
--- a/src/skylarkrack/core/relay/_call.py
+++ b/src/skylarkrack/core/relay/_call.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from skylarkrack.core.relay._names import Name
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelNeed:
@@ -18,7 +20,7 @@
     prefix: tuple[tuple[str, int], ...] = ()
 
     @property
-    def name(self) -> tuple[str, str]:
+    def name(self) -> Name:
         """Model and adapter; the adapter is "" for the model itself."""
         return self.model, self.adapter or ""
 
--- a/src/skylarkrack/core/relay/_crashes.py
+++ b/src/skylarkrack/core/relay/_crashes.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 
 from skylarkrack.core._suspicion import Suspicion
+from skylarkrack.core.relay._names import Key
 
 LOSS_LIFE_MS = 15_000.0
 """Time in which a death still explains a lost answer; registrations lapse within seconds."""
@@ -26,8 +27,6 @@
 MAX_TOLD = 30
 """Suspects in one message between entries; the newest."""
 
-Key = tuple[str, int]
-
 
 class Crashes:
     """Lost answers, the endpoints that died of them or with them, and who is refused for it."""
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -8,13 +8,12 @@
 from skylarkrack.core.relay._directory import Directory, Endpoint
 from skylarkrack.core.relay._health import Health, Outcomes
 from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load, Work
+from skylarkrack.core.relay._names import Key, Name
 from skylarkrack.core.relay._placement import Beliefs, Candidate, candidates
 from skylarkrack.core.relay._places import Want
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
 
-Key = tuple[str, int]
-
 MAX_KEPT = 100
 """Adapters that an engine is taken to keep a copy of after they were evicted."""
 
@@ -146,10 +145,10 @@
         self.directory = Directory()
         self.health = Health()
         self.load = Load()
-        self._denied_by_key: dict[Key, set[tuple[str, str]]] = {}
-        self._kept_by_address: dict[str, dict[tuple[str, str], None]] = {}
+        self._denied_by_key: dict[Key, set[Name]] = {}
+        self._kept_by_address: dict[str, dict[Name, None]] = {}
         self._state_by_key: dict[Key, EngineState] = {}
-        self._version_by_adapter: dict[tuple[str, str], int] = {}
+        self._version_by_adapter: dict[Name, int] = {}
         self._waiting: list[Ticket] = []
 
     # Queries
@@ -171,9 +170,9 @@
         ranked = candidates(untried or endpoints, service, ticket.need, beliefs)
         return self._choose(ticket, ranked, now_ms)
 
-    def wanted_at(self, key: Key) -> dict[tuple[str, str], Want]:
+    def wanted_at(self, key: Key) -> dict[Name, Want]:
         """Return what waits for the engine *key* by model and adapter."""
-        wanted: dict[tuple[str, str], Want] = {}
+        wanted: dict[Name, Want] = {}
         for ticket in self._waiting:
             if ticket.waits_at != key or ticket.need is None:
                 continue
@@ -200,7 +199,7 @@
         service = None if self.table is None else self.table.service_by_name.get(endpoint.service)
         return None if service is None else service.engine
 
-    def versions(self) -> dict[tuple[str, str], int]:
+    def versions(self) -> dict[Name, int]:
         """Return the newest announced versions by model and adapter."""
         return dict(self._version_by_adapter)
 
@@ -307,7 +306,7 @@
         return reserved
 
     def _beliefs(self, now_ms: float, *, for_overdue: bool) -> Beliefs:
-        wanted: dict[Key, set[tuple[str, str]]] = {}
+        wanted: dict[Key, set[Name]] = {}
         for ticket in self._waiting:
             if ticket.need is not None and ticket.waits_at is not None:
                 name = ticket.need.name
--- a/src/skylarkrack/core/relay/_health.py
+++ b/src/skylarkrack/core/relay/_health.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field, replace
 
+from skylarkrack.core.relay._names import Key
+
 LATENCY_WEIGHT = 0.15
 """Weight of the newest latency in the running mean."""
 
@@ -72,21 +74,21 @@
     __slots__ = ("_record_by_key",)
 
     def __init__(self) -> None:
-        self._record_by_key: dict[tuple[str, int], _Record] = {}
+        self._record_by_key: dict[Key, _Record] = {}
 
     # Queries
 
-    def is_paused(self, key: tuple[str, int], now_ms: float) -> bool:
+    def is_paused(self, key: Key, now_ms: float) -> bool:
         """Tell whether connections failed so lately that no request should be tried."""
         record = self._record_by_key.get(key)
         return record is not None and now_ms < record.paused_until_ms
 
-    def failure_ratio(self, key: tuple[str, int], now_ms: float) -> float:
+    def failure_ratio(self, key: Key, now_ms: float) -> float:
         """Return the share of failures, here or at the other entries, whichever is more."""
         record = self._record_by_key.get(key)
         return 0.0 if record is None else max(record.own.now(now_ms), record.told.now(now_ms))
 
-    def outcomes(self, now_ms: float) -> dict[tuple[str, int], Outcomes]:
+    def outcomes(self, now_ms: float) -> dict[Key, Outcomes]:
         """Return what came of this entry's requests where some ended lately."""
         return {
             key: record.outcomes
@@ -94,14 +96,14 @@
             if record.own.at_ms and now_ms - record.own.at_ms < TOLD_AGAIN_MS
         }
 
-    def latency_ms(self, key: tuple[str, int]) -> float | None:
+    def latency_ms(self, key: Key) -> float | None:
         """Return the mean time to the first byte, or None before the first answer."""
         record = self._record_by_key.get(key)
         return None if record is None else record.latency_ms
 
     # Commands
 
-    def answered(self, key: tuple[str, int], latency_ms: float, now_ms: float) -> None:
+    def answered(self, key: Key, latency_ms: float, now_ms: float) -> None:
         """Count a good answer."""
         record = self._record(key)
         if record.latency_ms is None:
@@ -112,13 +114,13 @@
         record.outcomes = replace(record.outcomes, answered=record.outcomes.answered + 1)
         record.pause_ms = record.paused_until_ms = 0.0
 
-    def failed(self, key: tuple[str, int], now_ms: float) -> None:
+    def failed(self, key: Key, now_ms: float) -> None:
         """Count a refusal, an error, or an answer that broke off."""
         record = self._record(key)
         record.own.add(is_failure=True, weight=FAILURE_WEIGHT, now_ms=now_ms)
         record.outcomes = replace(record.outcomes, failed=record.outcomes.failed + 1)
 
-    def told(self, entry: str, key: tuple[str, int], outcomes: Outcomes, now_ms: float) -> None:
+    def told(self, entry: str, key: Key, outcomes: Outcomes, now_ms: float) -> None:
         """Take what came of another entry's requests; the first telling is where it begins."""
         record = self._record(key)
         known = record.outcomes_by_entry.get(entry)
@@ -130,17 +132,17 @@
         for _ in range(min(MOST_AT_ONCE, outcomes.failed - known.failed)):
             record.told.add(is_failure=True, weight=TOLD_WEIGHT, now_ms=now_ms)
 
-    def unreachable(self, key: tuple[str, int], now_ms: float) -> None:
+    def unreachable(self, key: Key, now_ms: float) -> None:
         """Count a connection that could not be made; the pauses grow."""
         self.failed(key, now_ms)
         record = self._record(key)
         record.pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * record.pause_ms))
         record.paused_until_ms = now_ms + record.pause_ms
 
-    def keep_only(self, keys: set[tuple[str, int]]) -> None:
+    def keep_only(self, keys: set[Key]) -> None:
         """Forget the incarnations that are gone."""
         for key in set(self._record_by_key) - keys:
             del self._record_by_key[key]
 
-    def _record(self, key: tuple[str, int]) -> _Record:
+    def _record(self, key: Key) -> _Record:
         return self._record_by_key.setdefault(key, _Record())
--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from skylarkrack.core.relay._health import Outcomes
+from skylarkrack.core.relay._names import Key, Name
 
 READING_WINDOW_MS = 300.0
 """Time over which prompts sent to one engine are added up: the pause that streams may have."""
@@ -11,8 +12,6 @@
 LOAD_LIFE_MS = 1500.0
 """What an entry told is dropped after this; it tells ten times a second while it works."""
 
-Key = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineState:
@@ -23,8 +22,8 @@
     """
 
     received_ms: float
-    resident: dict[tuple[str, str], int]
-    on_the_way: dict[tuple[str, str], int]
+    resident: dict[Name, int]
+    on_the_way: dict[Name, int]
     spare_places: int = 0
 
 
@@ -62,7 +61,7 @@
         self._runs: Counter[Key] = Counter()
         self._tokens: Counter[Key] = Counter()
         self._prompts: dict[Key, deque[tuple[float, int]]] = {}
-        self._adapters: dict[Key, Counter[tuple[str, str]]] = {}
+        self._adapters: dict[Key, Counter[Name]] = {}
         self._told_by_entry: dict[str, _Told] = {}
 
     # Queries
@@ -91,29 +90,29 @@
             for key, runs in self._runs.items()
         }
 
-    def own_adapters(self, key: Key) -> dict[tuple[str, str], int]:
+    def own_adapters(self, key: Key) -> dict[Name, int]:
         """Return this entry's runs at an endpoint by (model, adapter)."""
         return dict(self._adapters.get(key, {}))
 
     # Commands
 
-    def began(self, key: Key, *, tokens: int, model: str = "", adapter: str = "") -> None:
+    def began(self, key: Key, *, tokens: int, name: Name | None = None) -> None:
         """Count a run sent to an endpoint."""
         self._runs[key] += 1
         self._tokens[key] += tokens
-        if model:
-            self._adapters.setdefault(key, Counter())[model, adapter] += 1
+        if name is not None:
+            self._adapters.setdefault(key, Counter())[name] += 1
 
     def sent_prompt(self, key: Key, tokens: int, now_ms: float) -> None:
         """Note that an engine begins to read a prompt."""
         self._prompts.setdefault(key, deque()).append((now_ms, tokens))
 
-    def ended(self, key: Key, *, tokens: int, model: str = "", adapter: str = "") -> None:
+    def ended(self, key: Key, *, tokens: int, name: Name | None = None) -> None:
         """Count the end of a run."""
         self._lower(self._runs, key, 1)
         self._lower(self._tokens, key, tokens)
-        if model:
-            self._lower(self._adapters[key], (model, adapter), 1)
+        if name is not None:
+            self._lower(self._adapters[key], name, 1)
             if not self._adapters[key]:
                 del self._adapters[key]
 
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -15,6 +15,7 @@
 from skylarkrack.core.relay._directory import Endpoint
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import READING_WINDOW_MS, EngineState, Load
+from skylarkrack.core.relay._names import Key, Name
 from skylarkrack.core.relay._places import LOADS_AT_ONCE
 from skylarkrack.core.relay._table import EngineShape, Service
 
@@ -124,13 +125,13 @@
 
     health: Health
     load: Load
-    state_by_key: dict[tuple[str, int], EngineState]
-    version_by_adapter: dict[tuple[str, str], int]
-    denied_by_key: dict[tuple[str, int], set[tuple[str, str]]]
-    kept_by_address: dict[str, dict[tuple[str, str], None]]
-    wanted_by_key: dict[tuple[str, int], set[tuple[str, str]]]
+    state_by_key: dict[Key, EngineState]
+    version_by_adapter: dict[Name, int]
+    denied_by_key: dict[Key, set[Name]]
+    kept_by_address: dict[str, dict[Name, None]]
+    wanted_by_key: dict[Key, set[Name]]
     missing_ids: frozenset[str]
-    reserved_by_key: dict[tuple[str, int], int]
+    reserved_by_key: dict[Key, int]
     is_overdue: bool
     routing: LeastCost | LeastLoaded | HashOnly
     domain: str
--- a/src/skylarkrack/core/relay/_places.py
+++ b/src/skylarkrack/core/relay/_places.py
@@ -12,8 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-Name = tuple[str, str]
-"""Model and adapter; the adapter is "" for the model itself."""
+from skylarkrack.core.relay._names import Name
 
 IN_USE_LIFE_MS = 20_000.0
 """What a silent entry used stays in use for the longest run that an entry allows."""
--- a/src/skylarkrack/relay/_conversation.py
+++ b/src/skylarkrack/relay/_conversation.py
@@ -8,6 +8,8 @@
     Endpoint,
     EngineHeard,
     EngineState,
+    Key,
+    Name,
     Outcomes,
     Work,
     digest_of_endpoint,
@@ -80,8 +82,8 @@
         self._agent_by_endpoint: dict[str, str] = {}
         self._heard_by_endpoint: dict[str, tuple[str, int]] = {}
         self._base_by_endpoint: dict[str, tuple[tuple[str, int], EngineHeard]] = {}
-        self._demanded_ms_by_key: dict[tuple[str, int], float] = {}
-        self._told_in_use_by_key: dict[tuple[str, int], frozenset] = {}
+        self._demanded_ms_by_key: dict[Key, float] = {}
+        self._told_in_use_by_key: dict[Key, frozenset] = {}
         self._sequence = 0
         self._told_ms = 0.0
         self._told_all_ms = float("-inf")
@@ -233,7 +235,7 @@
             if now_ms - told_ms >= pause_ms - TICK_MS / 2:
                 self._tell_agent(endpoint, now_ms)
 
-    def tell_demand_soon(self, key: tuple[str, int]) -> None:
+    def tell_demand_soon(self, key: Key) -> None:
         """Tell an agent at once what is used and waited for at its engine."""
         for endpoint in self._parts.desk.dispatcher.directory.all():
             if endpoint.key == key:
@@ -270,7 +272,7 @@
         self._peers.send(demand, address)
 
 
-def _by_name(rows_by_model: dict[str, list]) -> dict[tuple[str, str], int]:
+def _by_name(rows_by_model: dict[str, list]) -> dict[Name, int]:
     return {(model, row[0]): row[1] for model, rows in rows_by_model.items() for row in rows}
 
 
--- a/src/skylarkrack/relay/_desk.py
+++ b/src/skylarkrack/relay/_desk.py
@@ -5,7 +5,7 @@
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import RequestRefused
-from skylarkrack.core.relay import Dispatcher, SendTo, Ticket, TurnAway, WaitFor
+from skylarkrack.core.relay import Dispatcher, Key, SendTo, Ticket, TurnAway, WaitFor
 
 TICK_MS = 25.0
 """Longest time until a waiting request is looked at again."""
@@ -23,7 +23,7 @@
         self.dispatcher = dispatcher
         self._answer_by_ticket: dict[Ticket, asyncio.Future] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self.on_wait: Callable[[tuple[str, int]], None] = lambda key: None
+        self.on_wait: Callable[[Key], None] = lambda key: None
 
     async def place(self, ticket: Ticket) -> SendTo:
         """Return where the request goes, after a wait if need be; raises `RequestRefused`."""
--- a/src/skylarkrack/relay/_endpoints.py
+++ b/src/skylarkrack/relay/_endpoints.py
@@ -1,6 +1,6 @@
 """Connections to endpoints, by incarnation."""
 
-from skylarkrack.core.relay import Endpoint
+from skylarkrack.core.relay import Endpoint, Key
 from skylarkrack.web import HttpClient
 
 MAX_IDLE_PER_ENDPOINT = 24
@@ -13,7 +13,7 @@
     __slots__ = ("_client_by_key",)
 
     def __init__(self) -> None:
-        self._client_by_key: dict[tuple[str, int], HttpClient] = {}
+        self._client_by_key: dict[Key, HttpClient] = {}
 
     def client_of(self, endpoint: Endpoint) -> HttpClient:
         """Return the client of an endpoint."""
@@ -23,7 +23,7 @@
             self._client_by_key[endpoint.key] = client
         return client
 
-    def keep_only(self, keys: set[tuple[str, int]]) -> None:
+    def keep_only(self, keys: set[Key]) -> None:
         """Close the idle connections to endpoints that are gone."""
         for key in set(self._client_by_key) - keys:
             self._client_by_key.pop(key).close()
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -15,6 +15,7 @@
     Contact,
     EngineOrder,
     EngineReport,
+    Name,
     PlaceLimits,
     Places,
     Want,
@@ -256,7 +257,7 @@
             await asyncio.sleep(MEMBERSHIP_MS / 1000)
 
 
-def _by_model(version_by_name: dict[tuple[str, str], int]) -> dict[str, list]:
+def _by_model(version_by_name: dict[Name, int]) -> dict[str, list]:
     """Return rows of [adapter, version] by model."""
     rows: dict[str, list] = {}
     for (model, adapter), version in version_by_name.items():
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -125,10 +125,9 @@
         """Send the request to one endpoint and hand its answer on; raises `_TryAgain`."""
         endpoint, need = placed.endpoint, self.ticket.need
         tokens = 0 if need is None else need.tokens
-        model = "" if need is None else need.model
-        adapter = "" if need is None else need.adapter or ""
+        name = None if need is None else need.name
         load = self._parts.desk.dispatcher.load
-        load.began(endpoint.key, tokens=tokens, model=model, adapter=adapter)
+        load.began(endpoint.key, tokens=tokens, name=name)
         if need is not None:
             load.sent_prompt(endpoint.key, need.prompt_tokens, monotonic_ms())
         self._overdue = asyncio.get_running_loop().call_later(
@@ -142,7 +141,7 @@
                 response.close()
         finally:
             self._overdue.cancel()
-            load.ended(endpoint.key, tokens=tokens, model=model, adapter=adapter)
+            load.ended(endpoint.key, tokens=tokens, name=name)
             if self._parts.desk.dispatcher.waiting_count():
                 asyncio.get_running_loop().call_soon(self._parts.desk.wake)
 
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -45,7 +45,7 @@
         one, two = endpoint("e1"), endpoint("e2")
         found = dispatcher(one, two, states=(state(0.0, "a1"), state(0.0)))
         for _ in range(10):
-            found.load.began(one.key, tokens=200, model=MODEL, adapter="a1")
+            found.load.began(one.key, tokens=200, name=(MODEL, "a1"))
         decision = found.decide(ticket(), 0.0)
         self.assertIsInstance(decision, WaitFor)
         self.assertEqual(decision.key, two.key)
