Don't charge the exact bucket of the measures for what has not run

Cause, found on reading: a request that was admitted and then turned away gives its tokens back, but `python -m tools.measures` took them from the one exact bucket all the same, so wrongful refusals after it could pass for rightful ones: an error in our own favour. Test that failed first: TestMeasures.test_what_did_not_run_takes_nothing_from_the_bucket (0 wrongful, not 1).

--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -51,6 +51,14 @@
         rows = [ended(0, "r", first_ms=9) for _ in range(2)] + [refused(1.5)]
         self.assertEqual(measure(["\n".join(rows)]).wrongful(), {"o1": 1})
 
+    def test_what_did_not_run_takes_nothing_from_the_bucket(self) -> None:
+        turned_away = line(
+            0, "RELAY_REFUSED", request="x", organisation="o1", code=3003, cost=100, took_ms=0,
+            outcome="not_run",
+        )  # fmt: skip
+        rows = [ended(0, "r", first_ms=9), turned_away, refused(0.5)]
+        self.assertEqual(measure(["\n".join(rows)]).wrongful(), {"o1": 1})
+
     def test_lines_of_others_are_passed_over(self) -> None:
         self.assertEqual(measure(["no log line\n"]).streams, 0)
 
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -8,7 +8,8 @@
 * worst served: the median over the organisations of the 95th percentile to the first event, over
   the largest of them; 1 is even, organisations with under `FEWEST` streams are left out;
 * wrongful refusals: refusals for a rate that one exact bucket over all entries would not have made,
-  of all that organisations asked for; their number and share by organisation.
+  of all that organisations asked for; their number and share by organisation. A request whose
+  caller left writes no cost, so its grant isn't taken from that bucket: there may be fewer.
 """
 
 import statistics
@@ -18,6 +19,7 @@
 from datetime import datetime
 from pathlib import Path
 
+from skylarkrack._errors import Code, Outcome
 from skylarkrack._log_reader import LogLine, parse_line
 
 STALL_MS = 200.0
@@ -26,7 +28,8 @@
 FEWEST = 20
 """Streams below which a 95th percentile says nothing."""
 
-RATE_EXCEEDED = 3001
+RATE_EXCEEDED = int(Code.RATE_EXCEEDED)
+NOT_RUN = str(Outcome.NOT_RUN)
 
 
 @dataclass(slots=True)
@@ -60,8 +63,10 @@
             self.first_ms_by_organisation[fields["organisation"]].append(fields["first_ms"])
         if line.name in ("RELAY_ENDED", "RELAY_BROKEN", "RELAY_REFUSED") and fields.get("cost"):
             is_refused = fields.get("code") == RATE_EXCEEDED
+            # What has not run gives its tokens back; it was asked for all the same.
+            is_given_back = not is_refused and fields.get("outcome") == NOT_RUN
             arrived_ms = at_ms - fields.get("took_ms", 0)
-            ask = _Ask(arrived_ms, fields["cost"], is_refused)
+            ask = _Ask(arrived_ms, 0.0 if is_given_back else fields["cost"], is_refused)
             self.asks_by_organisation[fields["organisation"]].append(ask)
             if is_refused:
                 quota = (fields["rate_per_s"], fields["burst"])
