Add up what entries told of an endpoint once for each candidate

Cause: a decision asked for runs, tokens, prompts and reserved prompts of each engine, and each of the four went through what all entries had told; the runs of the one chosen were then added up a fifth time. Done: Load.total adds all up in one pass, with the same two lives of what was told; a candidate's runs are kept.

--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -353,6 +353,6 @@
             endpoint=candidate.endpoint,
             version=candidate.version,
             cost_ms=candidate.cost_ms,
-            runs=self.load.runs(key, now_ms),
+            runs=candidate.runs,
             state_age_ms=None if state is None else now_ms - state.received_ms,
         )
--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -43,9 +43,6 @@
     outcomes: Outcomes = Outcomes()
 
 
-_NO_WORK = Work()
-
-
 @dataclass(frozen=True, slots=True)
 class _Told:
     received_ms: float
@@ -66,22 +63,20 @@
 
     # Queries
 
-    def runs(self, key: Key, now_ms: float) -> int:
-        """Return the runs under way at an endpoint."""
-        return self._runs[key] + sum(work.runs for work in self._others(key, now_ms))
-
-    def tokens(self, key: Key, now_ms: float) -> int:
-        """Return the tokens that the runs under way may take of an engine's memory."""
-        return self._tokens[key] + sum(work.tokens for work in self._others(key, now_ms))
-
-    def prompts(self, key: Key, now_ms: float) -> int:
-        """Return the prompt tokens that all entries sent to an engine within the window."""
-        others = self._others(key, now_ms, READING_WINDOW_MS)
-        return self._own_prompts(key, now_ms) + sum(work.prompts for work in others)
-
-    def reserved(self, key: Key, now_ms: float) -> int:
-        """Return the prompt tokens that requests at other entries wait to have read."""
-        return sum(work.reserved for work in self._others(key, now_ms, READING_WINDOW_MS))
+    def total(self, key: Key, now_ms: float) -> Work:
+        """Return the work of all entries at an endpoint; what is reserved is that of others."""
+        runs, tokens, reserved = self._runs[key], self._tokens[key], 0
+        prompts = self._own_prompts(key, now_ms)
+        for told in self._told_by_entry.values():
+            work, age_ms = told.work_by_key.get(key), now_ms - told.received_ms
+            if work is None or age_ms >= LOAD_LIFE_MS:
+                continue
+            runs += work.runs
+            tokens += work.tokens
+            if age_ms < READING_WINDOW_MS:
+                prompts += work.prompts
+                reserved += work.reserved
+        return Work(runs=runs, tokens=tokens, prompts=prompts, reserved=reserved)
 
     def own(self, now_ms: float) -> dict[Key, Work]:
         """Return this entry's work by endpoint, without what is reserved."""
@@ -120,14 +115,6 @@
         """Take another entry's work under way."""
         self._told_by_entry[entry] = _Told(now_ms, work_by_key)
 
-    def _others(self, key: Key, now_ms: float, life_ms: float = LOAD_LIFE_MS) -> list[Work]:
-        """Return what other entries told of an endpoint within *life_ms*."""
-        return [
-            told.work_by_key.get(key, _NO_WORK)
-            for told in self._told_by_entry.values()
-            if now_ms - told.received_ms < life_ms
-        ]
-
     def _own_prompts(self, key: Key, now_ms: float) -> int:
         sent = self._prompts.get(key)
         if sent is None:
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -168,7 +168,7 @@
 
 
 def _plain(endpoint: Endpoint, beliefs: Beliefs) -> Candidate:
-    runs = beliefs.load.runs(endpoint.key, beliefs.now_ms)
+    runs = beliefs.load.total(endpoint.key, beliefs.now_ms).runs
     run_ms = beliefs.health.latency_ms(endpoint.key) or PLAIN_RUN_MS
     cost_ms = _base_ms(endpoint, beliefs) + run_ms * (1 + runs / max(1, endpoint.slots))
     if runs >= endpoint.slots:
@@ -184,20 +184,20 @@
     endpoint: Endpoint, service: Service, need: ModelNeed, rank: int, beliefs: Beliefs
 ) -> Candidate:
     shape, key = service.engine, endpoint.key
-    runs = beliefs.load.runs(key, beliefs.now_ms)
+    work = beliefs.load.total(key, beliefs.now_ms)
+    runs = work.runs
     slots = endpoint.slots or shape.slots
     cost_ms = _base_ms(endpoint, beliefs) + RANK_MS * rank + FULL_BATCH_MS * runs / slots
     if runs >= slots:
         cost_ms += QUEUED_RUN_MS * (runs - slots + 1)
     is_ready = runs < slots * (1 + QUEUE_PART)
-    if beliefs.load.tokens(key, beliefs.now_ms) + need.tokens > MEMORY_PART * shape.cache_tokens:
+    if work.tokens + need.tokens > MEMORY_PART * shape.cache_tokens:
         cost_ms += FULL_BATCH_MS
         is_ready = is_ready and runs == 0
-    reading = beliefs.load.prompts(key, beliefs.now_ms)
+    reading = work.prompts
     if not beliefs.is_overdue:
         # A long prompt finds room only if the short ones stop going before it.
-        reading += beliefs.load.reserved(key, beliefs.now_ms)
-        reading += beliefs.reserved_by_key.get(key, 0)
+        reading += work.reserved + beliefs.reserved_by_key.get(key, 0)
     if reading and reading + need.prompt_tokens > READING_LIMIT:
         cost_ms += (reading + need.prompt_tokens - READING_LIMIT) / READ_TOKENS_PER_MS
         is_ready = False
