--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -75,6 +75,9 @@
     SETTINGS_RELOADED = 725
     LINES_DROPPED = 726
     TABLE_FETCHED = 727
+    ENDPOINT_LEAVING = 728
+    ENDPOINT_PAUSED = 729
+    STORE_REWOUND = 730
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -4,9 +4,14 @@
 is reachable, an endpoint whose registration ends gets no further requests. A registration that is
 missing after an outage of the registry may only have lapsed during it: such an endpoint is kept for
 `REREGISTRATION_GRACE_MS` after the registry's return, in which a live endpoint registers again.
+
+The registry may also be restored from an older copy. What it lists then may be out of date: an
+incarnation that was removed before stays unused until it is registered again, or until it has
+outlived the lease of a registration. An incarnation that is known to be leaving stays so.
 """
 
 import zlib
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -18,6 +23,13 @@
 must get no request, since the recovery is noticed up to 1 s late."""
 
 
+REGISTRATION_LEASE_MS = 4000.0
+"""Time after which the registration of an endpoint that is silent has lapsed."""
+
+MAX_REMEMBERED = 2000
+"""Incarnations remembered as leaving, and as removed; beyond it the oldest are dropped."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Endpoint:
     """One incarnation of an endpoint.
@@ -54,10 +66,14 @@
     __slots__ = (
         "_is_registry_lost",
         "_restored_ms",
+        "_rewound_ms",
         "_by_id",
         "_by_service",
+        "_held_by_id",
         "_key_by_digest",
+        "_leaving_keys",
         "_missing_until_by_id",
+        "_removed_keys",
         "_services",
     )
 
@@ -66,9 +82,14 @@
         self._by_service: dict[str, list[Endpoint]] = {}
         self._key_by_digest: dict[int, EndpointKey] = {}
         self._missing_until_by_id: dict[str, float] = {}
+        # Insertion order is the order of age; the values are unused.
+        self._leaving_keys: OrderedDict[EndpointKey, None] = OrderedDict()
+        self._removed_keys: OrderedDict[EndpointKey, None] = OrderedDict()
+        self._held_by_id: dict[str, tuple[Endpoint, float]] = {}
         self._services: frozenset[str] = frozenset()
         self._is_registry_lost = False
         self._restored_ms = float("-inf")
+        self._rewound_ms = float("-inf")
 
     # Queries
 
@@ -96,6 +117,10 @@
         """Return the ids of endpoints that are kept only because the registry was unreachable."""
         return frozenset(self._missing_until_by_id)
 
+    def leaving_keys(self) -> list[EndpointKey]:
+        """Return the incarnations known to be leaving, the newest last."""
+        return list(self._leaving_keys)
+
     # Commands
 
     def set_services(self, names: Iterable[str]) -> None:
@@ -113,6 +138,38 @@
             self._is_registry_lost = False
             self._restored_ms = now_ms
 
+    def registry_rewound(self, now_ms: float) -> None:
+        """Record that the registry was restored from an older copy.
+
+        Registrations that the copy lacks have the time after an outage to be made again.
+        """
+        self._is_registry_lost = False
+        self._restored_ms = self._rewound_ms = now_ms
+
+    def mark_leaving(self, key: EndpointKey) -> bool:
+        """Exclude an incarnation from new work for good; return whether that is new.
+
+        It may be unknown: a later registration of the incarnation is then a leaving one.
+        """
+        is_new = key not in self._leaving_keys
+        _remember(self._leaving_keys, key)
+        for endpoint in list(self._by_id.values()):
+            if endpoint.key == key and not endpoint.is_leaving:
+                self.put(endpoint)
+        return is_new
+
+    def hold_if_removed(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Hold back a registration of a restored copy whose incarnation was removed before.
+
+        Returns whether it is held. It is released by `expire_missing` once the registration would
+        have lapsed; a new registration and a removal end the hold.
+        """
+        until_ms = self._rewound_ms + REGISTRATION_LEASE_MS
+        if endpoint.key not in self._removed_keys or now_ms >= until_ms:
+            return False
+        self._held_by_id[endpoint.endpoint_id] = (endpoint, until_ms)
+        return True
+
     def put(self, endpoint: Endpoint) -> Endpoint | None:
         """Apply a registration; return the endpoint known under its id before, or None.
 
@@ -121,8 +178,12 @@
         known = self._by_id.get(endpoint.endpoint_id)
         if known is not None and known.started_ms > endpoint.started_ms:
             return known
-        if known is not None and known.started_ms == endpoint.started_ms and known.is_leaving:
+        if endpoint.key in self._leaving_keys:
             endpoint = replace(endpoint, is_leaving=True)
+        if endpoint.is_leaving:
+            _remember(self._leaving_keys, endpoint.key)
+        self._held_by_id.pop(endpoint.endpoint_id, None)
+        self._removed_keys.pop(endpoint.key, None)
         self._missing_until_by_id.pop(endpoint.endpoint_id, None)
         self._by_id[endpoint.endpoint_id] = endpoint
         if known is None or _routing_fields(known) != _routing_fields(endpoint):
@@ -137,6 +198,7 @@
         During an outage of the registry and the grace time after it, the endpoint is only marked as
         missing.
         """
+        self._held_by_id.pop(endpoint_id, None)
         if endpoint_id not in self._by_id:
             return False
         if self._is_registry_lost or now_ms < self._restored_ms + REREGISTRATION_GRACE_MS:
@@ -152,9 +214,15 @@
         return [endpoint_id for endpoint_id in missing if self.remove(endpoint_id, now_ms)]
 
     def expire_missing(self, now_ms: float) -> list[str]:
-        """Remove the endpoints that did not register again in time; return their ids."""
+        """Remove the endpoints that did not register again in time; return their ids.
+
+        Registrations that were held back for long enough are applied.
+        """
         if self._is_registry_lost:
             return []
+        for endpoint, until_ms in list(self._held_by_id.values()):
+            if until_ms <= now_ms:
+                self.put(endpoint)
         expired = [
             endpoint_id
             for endpoint_id, until_ms in self._missing_until_by_id.items()
@@ -166,7 +234,7 @@
 
     def _drop(self, endpoint_id: str) -> None:
         self._missing_until_by_id.pop(endpoint_id, None)
-        del self._by_id[endpoint_id]
+        _remember(self._removed_keys, self._by_id.pop(endpoint_id).key)
         self._regroup()
 
     def _regroup(self) -> None:
@@ -194,5 +262,12 @@
                 group[index] = new
 
 
+def _remember(keys: OrderedDict[EndpointKey, None], key: EndpointKey) -> None:
+    keys[key] = None
+    keys.move_to_end(key)
+    if len(keys) > MAX_REMEMBERED:
+        keys.popitem(last=False)
+
+
 def _routing_fields(endpoint: Endpoint) -> tuple:
     return endpoint.service, endpoint.address, endpoint.started_ms, endpoint.is_leaving
--- a/src/skylarkrack/core/relay/_health.py
+++ b/src/skylarkrack/core/relay/_health.py
@@ -1,4 +1,6 @@
-"""Failure ratios of endpoints, observed from requests, and the back-off after failed connections.
+"""Failure ratios of endpoints, observed from requests, and the times without requests.
+
+These are the back-off after failed connections, and the pauses that endpoints ask for.
 
 This covers endpoints that fail a part of their requests while their health checks pass. One entry
 sends few requests to each endpoint, so entries share the outcomes. An entry's own outcomes are
@@ -69,6 +71,7 @@
     outcomes: OutcomeCounts = OutcomeCounts()
     outcomes_by_entry: dict[str, OutcomeCounts] = field(default_factory=dict)
     backoff_until_ms: float = 0.0
+    paused_until_ms: float = 0.0
     backoff_ms: float = 0.0
 
 
@@ -87,6 +90,11 @@
         record = self._record_by_key.get(key)
         return record is not None and now_ms < record.backoff_until_ms
 
+    def pause_left_ms(self, key: EndpointKey, now_ms: float) -> float:
+        """Return the rest of the time in which the endpoint wants no requests from this entry."""
+        record = self._record_by_key.get(key)
+        return 0.0 if record is None else max(0.0, record.paused_until_ms - now_ms)
+
     def failure_ratio(self, key: EndpointKey, now_ms: float) -> float:
         """Return the failure ratio, 0 to 1: this entry's or the other entries', whichever is
         higher."""
@@ -154,6 +162,11 @@
         record.backoff_ms = min(MAX_BACKOFF_MS, max(INITIAL_BACKOFF_MS, 2 * record.backoff_ms))
         record.backoff_until_ms = now_ms + record.backoff_ms
 
+    def record_pause(self, key: EndpointKey, pause_ms: float, now_ms: float) -> None:
+        """Record that the endpoint wants no requests for *pause_ms*; that is no failure."""
+        record = self._record(key)
+        record.paused_until_ms = max(record.paused_until_ms, now_ms + pause_ms)
+
     def keep_only(self, keys: set[EndpointKey]) -> None:
         """Drop the records of endpoints that are not in *keys*."""
         for key in set(self._record_by_key) - keys:
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -188,7 +188,9 @@
     is_backing_off = context.health.is_backing_off(endpoint.key, context.now_ms)
     if is_backing_off:
         cost_ms += BACKOFF_COST_MS
-    is_ready = not is_backing_off and runs < 2 * max(1, endpoint.slots)
+    pause_ms = context.health.pause_left_ms(endpoint.key, context.now_ms)
+    cost_ms += pause_ms
+    is_ready = not is_backing_off and not pause_ms and runs < 2 * max(1, endpoint.slots)
     return Candidate(endpoint=endpoint, cost_ms=cost_ms, is_ready=is_ready, runs=runs)
 
 
@@ -221,6 +223,10 @@
     if context.health.is_backing_off(key, context.now_ms):
         cost_ms += BACKOFF_COST_MS
         is_ready = False
+    pause_ms = context.health.pause_left_ms(key, context.now_ms)
+    if pause_ms:
+        cost_ms += pause_ms
+        is_ready = False
     version, load_ms = _adapter_state(endpoint, shape, need, context)
     if version is None:
         is_ready = False
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -404,3 +404,17 @@
     endpoint: str
     base: int
     spare_places: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingEndpoints:
+    """Endpoints whose responses to an entry stated that they are about to stop, in a datagram.
+
+    *endpoints* holds rows of [address, start in ms].
+    """
+
+    vm: str
+    address: str
+    domain: str
+    passes_on: bool
+    endpoints: list
--- a/src/skylarkrack/platform/_engine.py
+++ b/src/skylarkrack/platform/_engine.py
@@ -10,6 +10,9 @@
 REPORT_TIMEOUT_MS = 1000.0
 """Timeout of each step of a report (connection, head, each part of the body); `LinkLost` beyond."""
 
+REPORT_TOTAL_MS = 2000.0
+"""Timeout of the whole body of a report."""
+
 ORDER_TIMEOUT_MS = 1000.0
 """Timeout of each step of an order (connection, head, each part of the body).
 
@@ -42,7 +45,7 @@
     async def report(self) -> EngineReport:
         """Return the engine's report of its own state; raises `LinkLost` without a valid one."""
         response = await self._client.request("GET", "/report", timeout_ms=REPORT_TIMEOUT_MS)
-        body = await response.read_body(timeout_ms=REPORT_TIMEOUT_MS)
+        body = await response.read_body(timeout_ms=REPORT_TIMEOUT_MS, total_ms=REPORT_TOTAL_MS)
         if response.status != 200:
             raise LinkLost(f"the engine's report has status {response.status}", sent=True)
         try:
@@ -82,7 +85,7 @@
                 body=json.dumps(document).encode(),
                 timeout_ms=ORDER_TIMEOUT_MS,
             )
-            await response.read_body(timeout_ms=ORDER_TIMEOUT_MS)
+            await response.read_body(timeout_ms=ORDER_TIMEOUT_MS, total_ms=ORDER_TIMEOUT_MS)
         except LinkLost as error:
             return OrderResult.UNKNOWN if error.sent else OrderResult.CONFLICT
         return _RESULT_BY_STATUS.get(response.status, OrderResult.UNKNOWN)
--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the platform's headers between callers, entries and endpoints."""
 
+import re
+
 from skylarkrack._errors import Code, RequestRefused
 from skylarkrack.core.relay import Call, ModelNeed, RoutingTable
 from skylarkrack.platform._documents import decode_table
@@ -25,6 +27,11 @@
 # Present in a refusal of a request that the endpoint did not run and will not run.
 _NOT_RUN = b"x-not-executed"
 
+# "1" in all answers of an endpoint that is about to stop.
+_LEAVING = b"server-leaving"
+# In a 503: seconds in which the endpoint wants no requests from this VM.
+_RETRY_AFTER = b"retry-after"
+
 # The id of the endpoint that the request is meant for.
 _EXPECTED_ENDPOINT_ID = b"x-expect-instance"
 # The id of the endpoint that answers, in its refusal of a request meant for another endpoint.
@@ -35,10 +42,17 @@
 # The expected version of the adapter, or of the model's weights where the request names no adapter.
 _VERSION = b"x-expect-version"
 
+# Other forms, such as dates, signs and exponents, ask for no pause.
+_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{0,9})?", re.ASCII)
+
 _KEY_SCHEME = "token"
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
 _REFUSAL_STATUSES = (400, 408, 421, 429, 503)
 
+MAX_PAUSE_MS = 300_000.0
+"""Longest pause that an endpoint can ask for; a longer one is shortened to this."""
+
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -160,6 +174,8 @@
             carries_proof=has_proof and has_request_id and not is_encoded,
             lacks_adapter=is_misdirected and not is_other_endpoint,
             is_other_endpoint=is_other_endpoint,
+            is_leaving=_header_value(headers, _LEAVING) == "1",
+            pause_ms=_decode_pause_ms(status, _header_value(headers, _RETRY_AFTER)),
         )
 
     def headers_for_caller(self, headers: Headers) -> Headers:
@@ -213,6 +229,16 @@
     return float(value)
 
 
+def _decode_pause_ms(status: int, retry_after: str | None) -> float | None:
+    """Return the pause that a refusal asks for; None without a number of seconds above 0."""
+    if status != _STATUS_UNAVAILABLE or retry_after is None:
+        return None
+    if not _SECONDS.fullmatch(retry_after.strip()):
+        return None
+    pause_ms = float(retry_after) * 1000
+    return min(pause_ms, MAX_PAUSE_MS) if pause_ms > 0 else None
+
+
 def _connection_options(headers: Headers) -> frozenset[bytes]:
     """Return the names in `Connection`, whose headers concern this connection only."""
     values = [value for name, value in headers if name == b"connection"]
--- a/src/skylarkrack/platform/_store.py
+++ b/src/skylarkrack/platform/_store.py
@@ -16,11 +16,14 @@
 timeout the call fails with `PlatformUnreachable`.
 """
 
+READ_TOTAL_MS = 5000.0
+"""Timeout of the whole body of an answer. A page of 1 MB takes half of it at 5 Mbit/s."""
+
 WATCH_SLACK_MS = 600.0
 """Time that a watch may take beyond its wait; its connection is taken for dead beyond that."""
 
 _STATUS_GONE = 410
-_NOT_FOUND = 404
+_ERA_HEADER = b"store-era"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,23 +36,47 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyValueBatch:
-    """Keys with their values: all under a prefix, or those that changed up to *revision*."""
+    """Keys with their values: all under a prefix, or those that changed up to *revision*.
+
+    Revisions are comparable only within one *era*.
+    """
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
 
 
 class HistoryLost(Exception):
     """Raised when the store no longer has the changes after the revision asked for."""
 
 
+class EraRecord:
+    """The newest era of the store that one process has seen, over all of its connections."""
+
+    __slots__ = ("newest",)
+
+    def __init__(self) -> None:
+        self.newest = 0
+
+    def observe(self, era: int) -> None:
+        """Record the era of an answer; raises `PlatformUnreachable` for one of an earlier era."""
+        if era < self.newest:
+            raise PlatformUnreachable(f"an answer of era {era} after one of era {self.newest}")
+        self.newest = era
+
+
 class Store:
-    """Client of the store; raises `PlatformUnreachable` where the store gives no valid answer."""
+    """Client of the store; raises `PlatformUnreachable` where the store gives no valid answer.
+
+    The store may be restored from an older copy; each time its era rises by one. Clients of one
+    process share *eras*, so that a late answer of an earlier era is not used.
+    """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_eras")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, eras: EraRecord | None = None) -> None:
         self._client = HttpClient(address)
+        self._eras = eras or EraRecord()
 
     def close(self) -> None:
         """Close the connections."""
@@ -62,15 +89,18 @@
         while later pages were read.
         """
         items: list[KeyValue] = []
-        revision, after = None, None
+        revision, after, first_era = None, None, None
         while True:
             query = {"prefix": prefix} if after is None else {"prefix": prefix, "after": after}
-            page = await self._get("/kv-range", query, timeout_ms=READ_TIMEOUT_MS)
+            page, era = await self._get("/kv-range", query, timeout_ms=READ_TIMEOUT_MS)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise PlatformUnreachable("the store was restored during a listing")
             page_items = [_decode_key_value(row) for row in _rows(page, "items")]
             items += page_items
             revision = _revision(page) if revision is None else revision
             if not page.get("has-more") or not page_items:
-                return KeyValueBatch(items=tuple(items), revision=revision)
+                return KeyValueBatch(items=tuple(items), revision=revision, era=era)
             after = page_items[-1].key
 
     async def watch(self, prefix: str, revision: int, *, wait_ms: int) -> KeyValueBatch:
@@ -80,17 +110,21 @@
         longer has the changes after *revision*.
         """
         query = {"prefix": prefix, "after": revision, "wait-ms": wait_ms}
-        page = await self._get("/kv-watch", query, timeout_ms=wait_ms + WATCH_SLACK_MS)
+        page, era = await self._get("/kv-watch", query, timeout_ms=wait_ms + WATCH_SLACK_MS)
         items = tuple(_decode_key_value(row) for row in _rows(page, "events"))
-        return KeyValueBatch(items=items, revision=_revision(page))
+        return KeyValueBatch(items=items, revision=_revision(page), era=era)
 
-    async def _get(self, path: str, query: dict, *, timeout_ms: float) -> dict:
+    async def _get(self, path: str, query: dict, *, timeout_ms: float) -> tuple[dict, int]:
+        """Return the page of an answer, and its era."""
         target = f"{path}?{urlencode(query)}"
         try:
             response = await self._client.request("GET", target, timeout_ms=timeout_ms)
-            body = await response.read_body(timeout_ms=timeout_ms)
+            body = await response.read_body(timeout_ms=timeout_ms, total_ms=READ_TOTAL_MS)
         except LinkLost as error:
             raise PlatformUnreachable(f"{path}: {error}") from error
+        era = _era(response.header(_ERA_HEADER))
+        if response.status in (200, _STATUS_GONE):
+            self._eras.observe(era)
         if response.status == _STATUS_GONE:
             raise HistoryLost
         if response.status != 200:
@@ -101,7 +135,12 @@
             raise PlatformUnreachable(f"{path}: not valid JSON") from error
         if not isinstance(page, dict):
             raise PlatformUnreachable(f"{path}: not a JSON object")
-        return page
+        return page, era
+
+
+def _era(value: str | None) -> int:
+    """Return the era in a header; a store that sends none, or an invalid one, stays in era 0."""
+    return int(value) if value is not None and value.isascii() and value.isdigit() else 0
 
 
 def _rows(page: dict, key: str) -> list[dict]:
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -10,7 +10,7 @@
     decode_endpoint,
     decode_version,
 )
-from skylarkrack.platform._store import HistoryLost, KeyValue, KeyValueBatch, Store
+from skylarkrack.platform._store import EraRecord, HistoryLost, KeyValue, KeyValueBatch, Store
 from skylarkrack.relay import RegistryListener
 
 PUBLICATIONS_PREFIX = "op/"
@@ -59,7 +59,15 @@
 class PrefixWatcher:
     """Reads all keys under a prefix, then watches for changes until it is closed."""
 
-    __slots__ = ("_pause_ms", "_is_unreachable", "_prefix", "_store", "_task", "_change_handler")
+    __slots__ = (
+        "_era",
+        "_pause_ms",
+        "_is_unreachable",
+        "_prefix",
+        "_store",
+        "_task",
+        "_change_handler",
+    )
 
     def __init__(
         self,
@@ -74,6 +82,7 @@
         self._change_handler = handler
         self._pause_ms = pause_ms
         self._is_unreachable = False
+        self._era: int | None = None
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -110,11 +119,18 @@
         if revision is None:
             listing = await self._store.read_all(self._prefix)
             self._mark_reachable()
+            if self._era is not None and listing.era != self._era:
+                log(Event.STORE_REWOUND, prefix=self._prefix, era=listing.era, before=self._era)
+                self._change_handler.handle_rewind()
+            self._era = listing.era
             self._change_handler.handle_listing(listing)
             return listing.revision
         await asyncio.sleep(self._pause_ms() / 1000)
         changes = await self._store.watch(self._prefix, revision, wait_ms=WATCH_WAIT_MS)
         self._mark_reachable()
+        if changes.era != self._era:
+            # The revision of the last read means something else in this era.
+            raise HistoryLost
         for key_value in changes.items:
             self._change_handler.handle_change(key_value)
         return max(revision, changes.revision)
@@ -146,6 +162,9 @@
         """Log that the store answers again."""
         log(Event.PLATFORM_BACK)
 
+    def handle_rewind(self) -> None:
+        """Do nothing: a document of an older version never replaces a newer one."""
+
     def handle_listing(self, listing: KeyValueBatch) -> None:
         """Handle a listing of all keys under the prefix."""
         for key_value in listing.items:
@@ -177,6 +196,10 @@
         """Notify the listener that the store answers again."""
         self._listener.registry_restored()
 
+    def handle_rewind(self) -> None:
+        """Notify the listener that the registrations are those of an older copy."""
+        self._listener.registry_rewound()
+
     def handle_listing(self, listing: KeyValueBatch) -> None:
         """Handle a listing of all registrations.
 
@@ -224,7 +247,8 @@
     ) -> None:
         """*count_entries* returns the number of entries that read the store."""
         # One connection for each prefix, since a watch occupies its connection while it waits.
-        self._stores = (Store(address), Store(address))
+        eras = EraRecord()
+        self._stores = (Store(address, eras), Store(address, eras))
         self._watchers = (
             PrefixWatcher(
                 self._stores[0],
--- a/src/skylarkrack/relay/_codec.py
+++ b/src/skylarkrack/relay/_codec.py
@@ -47,13 +47,16 @@
     it produced it; the proof's validity is not checked here.
     *lacks_adapter* is True where the endpoint does not hold the adapter or the version.
     *is_other_endpoint* is True where another endpoint, or another incarnation of it, now has
-    the address.
+    the address. *is_leaving* is True where the endpoint states that it is about to stop.
+    *pause_ms* is the time for which the endpoint wants no requests from this VM, or None.
     """
 
     was_not_run: bool
     carries_proof: bool
     lacks_adapter: bool
     is_other_endpoint: bool
+    is_leaving: bool = False
+    pause_ms: float | None = None
 
 
 class RelayCodec(Protocol):
--- a/src/skylarkrack/relay/_event_stream.py
+++ b/src/skylarkrack/relay/_event_stream.py
@@ -13,18 +13,21 @@
     __slots__ = ("_partial", "last_id")
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_id: str | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events after adding *data*; raises `ValueError` for one too large."""
+        # Only the new bytes are searched, so that many small pieces cost no more than a large one.
+        searched = max(0, len(self._partial) - 1)
         self._partial += data
-        end = self._partial.rfind(b"\n\n")
+        end = self._partial.rfind(b"\n\n", searched)
         if end < 0:
             if len(self._partial) > MAX_EVENT_BYTES:
                 raise ValueError("an event without end")
             return b""
-        complete, self._partial = self._partial[: end + 2], self._partial[end + 2 :]
+        complete = bytes(self._partial[: end + 2])
+        del self._partial[: end + 2]
         self._update_last_id(complete)
         return complete
 
@@ -35,7 +38,7 @@
 
     def drop_partial(self) -> None:
         """Drop an incomplete event after the endpoint broke off."""
-        self._partial = b""
+        self._partial.clear()
 
     def _update_last_id(self, events: bytes) -> None:
         start = max(events.rfind(b"\nid:"), 0 if events.startswith(b"id:") else -1)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -222,6 +222,13 @@
         classification = self._context.codec.classify_response(
             response.status, response.headers, endpoint.endpoint_id
         )
+        if classification.is_leaving and self._context.placement_queue.mark_leaving(endpoint.key):
+            self._log.endpoint_leaving(endpoint)
+        if classification.pause_ms is not None:
+            now_ms = monotonic_ms()
+            health = self._context.dispatcher.health
+            health.record_pause(endpoint.key, classification.pause_ms, now_ms)
+            self._log.endpoint_paused(endpoint, classification.pause_ms)
         if classification.was_not_run:
             await self._handle_not_run(response, endpoint, classification)
         is_success = response.status < _SERVER_ERROR
@@ -242,7 +249,7 @@
         """Record why the endpoint did not run the request; always raises `_RetryRequest`."""
         dispatcher = self._context.dispatcher
         try:
-            await response.read_body(timeout_ms=CONNECT_TIMEOUT_MS)
+            await response.read_body(timeout_ms=CONNECT_TIMEOUT_MS, total_ms=CONNECT_TIMEOUT_MS)
         except LinkLost:
             # Only the connection is lost; the head holds all that is needed.
             response.close()
@@ -253,7 +260,7 @@
         elif classification.lacks_adapter:
             if self.pending.need is not None:
                 dispatcher.record_missing_adapter(endpoint.key, self.pending.need)
-        else:
+        elif classification.pause_ms is None:
             dispatcher.health.record_failure(endpoint.key, monotonic_ms())
         reason = f"not run: status {response.status}"
         raise _RetryRequest(reason, was_sent=True, may_have_run=False)
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -56,6 +56,24 @@
         )
         self._context.metrics.count("overdue_total", self._pending.service_name)
 
+    def endpoint_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint's response states that it is about to stop."""
+        log(
+            Event.ENDPOINT_LEAVING,
+            request=self._pending.call.request_id,
+            endpoint=endpoint.endpoint_id,
+        )
+
+    def endpoint_paused(self, endpoint: Endpoint, pause_ms: float) -> None:
+        """Record that an endpoint wants no requests for some time."""
+        log(
+            Event.ENDPOINT_PAUSED,
+            request=self._pending.call.request_id,
+            endpoint=endpoint.endpoint_id,
+            pause_ms=round(pause_ms),
+        )
+        self._context.metrics.count("pauses_total", self._pending.service_name)
+
     def events_forwarded(self) -> None:
         """Record that events of a stream were forwarded to the caller."""
         now_ms = monotonic_ms()
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -16,9 +16,16 @@
     EngineState,
     EngineStateReceived,
     OutcomeCounts,
+    ProcessContact,
     digest_of_endpoint,
 )
-from skylarkrack.messages import AdapterDemand, EngineHeartbeat, EngineSnapshot, RelayState
+from skylarkrack.messages import (
+    AdapterDemand,
+    EngineHeartbeat,
+    EngineSnapshot,
+    LeavingEndpoints,
+    RelayState,
+)
 from skylarkrack.relay._config_sync import ConfigSync
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._peers import ENTRY, Peers
@@ -58,6 +65,14 @@
 They are still sent because the agent learns from them under which id its engine is registered.
 """
 
+LEAVING_REPEATS = 3
+LEAVING_INTERVAL_MS = 200.0
+"""Number of broadcasts of a leaving endpoint, since datagrams are lost, and the time between them.
+"""
+
+MAX_LEAVING_PER_MESSAGE = 200
+"""Leaving endpoints in the message to a new entry; only the newest are sent."""
+
 RETRY_SLACK_SHARE = 0.5
 """Fraction of the fleet's retry slack that the budgets of all entries together may accumulate."""
 
@@ -78,6 +93,7 @@
         "_last_received_by_endpoint",
         "_peers",
         "_last_complete_grants",
+        "_leaving_due_by_key",
         "_sent_in_use_by_key",
         "_sent_ms",
         "_sequence",
@@ -97,9 +113,9 @@
         self._context = context
         self._config_sync = config_sync
         self._incarnation = incarnation
-        self._peers = Peers(
-            settings, ENTRY, on_message=self._on_message, on_join=lambda contact: None
-        )
+        self._peers = Peers(settings, ENTRY, on_message=self._on_message, on_join=self._on_join)
+        # Broadcasts left and the time of the next one, for each leaving endpoint.
+        self._leaving_due_by_key: dict[EndpointKey, tuple[int, float]] = {}
         self._agent_address_by_endpoint: dict[str, str] = {}
         self._last_received_by_endpoint: dict[str, tuple[str, int]] = {}
         self._snapshot_by_endpoint: dict[str, tuple[tuple[str, int], EngineStateReceived]] = {}
@@ -141,6 +157,18 @@
             self._receive_snapshot(message, now_ms)
         elif isinstance(message, EngineHeartbeat):
             self._receive_heartbeat(message, now_ms)
+        elif isinstance(message, LeavingEndpoints):
+            self._receive_leaving(message)
+
+    def _on_join(self, contact: ProcessContact) -> None:
+        """Send a new entry the endpoints that are known to be leaving."""
+        keys = self._context.dispatcher.directory.leaving_keys()
+        if contact.role == ENTRY and keys:
+            self._peers.send(self._leaving_message(keys), contact.address)
+
+    def _receive_leaving(self, message: LeavingEndpoints) -> None:
+        for address, started_ms in message.endpoints:
+            self._context.dispatcher.directory.mark_leaving((address, started_ms))
 
     def _receive_state(self, message: RelayState, now_ms: float) -> None:
         self._config_sync.fetch_if_newer(message.status, message.table_version, message.announced)
@@ -196,11 +224,36 @@
 
     # Sending
 
+    def announce_leaving(self, key: EndpointKey) -> None:
+        """Tell the other entries that an endpoint is about to stop."""
+        self._leaving_due_by_key[key] = (LEAVING_REPEATS, monotonic_ms())
+        self._broadcast_leaving(monotonic_ms())
+
+    def _broadcast_leaving(self, now_ms: float) -> None:
+        due = [key for key, (_, at_ms) in self._leaving_due_by_key.items() if at_ms <= now_ms]
+        if not due:
+            return
+        for key in due:
+            repeats_left = self._leaving_due_by_key.pop(key)[0] - 1
+            if repeats_left:
+                self._leaving_due_by_key[key] = (repeats_left, now_ms + LEAVING_INTERVAL_MS)
+        self._peers.broadcast_to_entries(self._leaving_message(due))
+
+    def _leaving_message(self, keys: list[EndpointKey]) -> LeavingEndpoints:
+        return LeavingEndpoints(
+            vm=self._settings.vm,
+            address=self._settings.peers,
+            domain=self._settings.domain,
+            passes_on=self._settings.passes_on,
+            endpoints=[list(key) for key in keys[-MAX_LEAVING_PER_MESSAGE:]],
+        )
+
     def send_due(self, now_ms: float) -> None:
         """Send all messages that are due, and drop long silent entries from the quota limiter."""
         self._context.quota_limiter.forget_silent(now_ms)
         self._broadcast_state(now_ms)
         self._send_due_demands(now_ms)
+        self._broadcast_leaving(now_ms)
         self._peers.probe_silent(now_ms)
 
     def _broadcast_state(self, now_ms: float) -> None:
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -5,7 +5,14 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import AGENT, Membership, ProcessContact, broadcast_recipients
-from skylarkrack.messages import AdapterDemand, EngineHeartbeat, EngineSnapshot, RelayState, Roster
+from skylarkrack.messages import (
+    AdapterDemand,
+    EngineHeartbeat,
+    EngineSnapshot,
+    LeavingEndpoints,
+    RelayState,
+    Roster,
+)
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._settings import RelaySettings
 
@@ -15,8 +22,11 @@
     AdapterDemand: ENTRY,
     EngineSnapshot: AGENT,
     EngineHeartbeat: AGENT,
+    LeavingEndpoints: ENTRY,
 }
-_BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat)
+_BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat, LeavingEndpoints)
+
+Broadcast = RelayState | EngineSnapshot | EngineHeartbeat | LeavingEndpoints
 
 
 class Peers:
@@ -74,7 +84,7 @@
         """Send a message to several addresses; raises `ValueError` for one that is too large."""
         self._datagrams.send_to(message, addresses)
 
-    def broadcast_to_entries(self, message: RelayState | EngineSnapshot | EngineHeartbeat) -> None:
+    def broadcast_to_entries(self, message: Broadcast) -> None:
         """Send a message to all live entries.
 
         In another failure domain one entry receives it and forwards it there; where none can, all
--- a/src/skylarkrack/relay/_placement_queue.py
+++ b/src/skylarkrack/relay/_placement_queue.py
@@ -14,16 +14,18 @@
 class PlacementQueue:
     """The requests that wait for placement at this entry.
 
-    *on_wait* is called with the key of an engine when a request starts to wait for that engine.
+    *on_wait* is called with the key of an engine when a request starts to wait for that engine,
+    *on_leaving* with that of an endpoint that was found to be leaving.
     """
 
-    __slots__ = ("_decision_by_request", "_timer", "dispatcher", "on_wait")
+    __slots__ = ("_decision_by_request", "_timer", "dispatcher", "on_leaving", "on_wait")
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self.dispatcher = dispatcher
         self._decision_by_request: dict[PendingRequest, asyncio.Future] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.on_wait: Callable[[EndpointKey], None] = lambda key: None
+        self.on_leaving: Callable[[EndpointKey], None] = lambda key: None
 
     async def place(self, pending: PendingRequest) -> SendTo:
         """Return the endpoint to send a request to; raises `RequestRefused`.
@@ -51,6 +53,14 @@
                 break
         self._restart_timer()
 
+    def mark_leaving(self, key: EndpointKey) -> bool:
+        """Place no more requests at a leaving endpoint; return whether that is new."""
+        is_new = self.dispatcher.directory.mark_leaving(key)
+        if is_new:
+            self.on_leaving(key)
+            self.wake()
+        return is_new
+
     def close(self) -> None:
         """Stop the timer."""
         if self._timer is not None:
--- a/src/skylarkrack/relay/_registry.py
+++ b/src/skylarkrack/relay/_registry.py
@@ -29,6 +29,9 @@
     def registry_restored(self) -> None:
         """Record that the registry responds again."""
 
+    def registry_rewound(self) -> None:
+        """Record that the registry was restored from an older copy, which is listed next."""
+
 
 class EnginePort(Protocol):
     """Calls to one model engine."""
--- a/src/skylarkrack/relay/_registry_view.py
+++ b/src/skylarkrack/relay/_registry_view.py
@@ -71,10 +71,11 @@
         """Record all registrations, and remove the endpoints that are not listed."""
         self.has_listing = True
         listed = unreadable | {endpoint.endpoint_id for endpoint in endpoints}
+        directory, now_ms = self._context.dispatcher.directory, monotonic_ms()
         for endpoint in endpoints:
-            self.endpoint_put(endpoint)
-        directory = self._context.dispatcher.directory
-        for endpoint_id in directory.apply_listing(listed, monotonic_ms()):
+            if not directory.hold_if_removed(endpoint, now_ms):
+                self.endpoint_put(endpoint)
+        for endpoint_id in directory.apply_listing(listed, now_ms):
             log(Event.ENDPOINT_GONE, endpoint=endpoint_id, at_once=True)
         self._drop_removed()
 
@@ -88,6 +89,10 @@
         log(Event.REGISTRY_BACK)
         self._context.dispatcher.directory.registry_restored(monotonic_ms())
 
+    def registry_rewound(self) -> None:
+        """Record that the registry was restored from an older copy."""
+        self._context.dispatcher.directory.registry_rewound(monotonic_ms())
+
     def advance(self, now_ms: float) -> None:
         """Remove the endpoints that did not register again in time after an outage."""
         for endpoint_id in self._context.dispatcher.directory.expire_missing(now_ms):
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -21,6 +21,13 @@
 MAX_RESPONSE_BODY_BYTES = 4_194_304
 """Bound on a body read by `ClientResponse.read_body`; a larger one raises `LinkLost`."""
 
+BODY_TIMEOUT_FACTOR = 10
+"""Default bound on the time to read a body, as a multiple of the longest wait for a piece. A server
+that sends a byte now and then would otherwise be read for ever."""
+
+MAX_SKIPPED_BYTES = 1_048_576
+"""Bound on the bodies of the responses that are skipped; beyond it `LinkLost` is raised."""
+
 MAX_SKIPPED_ANSWERS = 4
 """Bound on the responses to earlier requests that are skipped; beyond it `LinkLost` is raised."""
 
@@ -58,18 +65,28 @@
         self._is_done = True
         self._client.put_back(self._connection)
 
-    async def read_body(self, *, timeout_ms: float) -> bytes:
+    async def read_body(self, *, timeout_ms: float, total_ms: float | None = None) -> bytes:
         """Return the complete body, waiting at most *timeout_ms* for each piece.
 
-        Raises `LinkLost` as `iter_body` does, and for a body that is larger than
-        `MAX_RESPONSE_BODY_BYTES`.
+        *total_ms* bounds the time for the whole body; it is `BODY_TIMEOUT_FACTOR` times
+        *timeout_ms* if not given. Raises `LinkLost` as `iter_body` does, and for a body that takes
+        longer or is larger than `MAX_RESPONSE_BODY_BYTES`.
         """
         body = bytearray()
-        async for data in self.iter_body(timeout_ms=timeout_ms):
-            body += data
-            if len(body) > MAX_RESPONSE_BODY_BYTES:
-                self.close()
-                raise LinkLost("the answer is too large", sent=True)
+        if total_ms is None:
+            total_ms = BODY_TIMEOUT_FACTOR * timeout_ms
+        try:
+            async with asyncio.timeout(total_ms / 1000):
+                async for data in self.iter_body(timeout_ms=timeout_ms):
+                    body += data
+                    if len(body) > MAX_RESPONSE_BODY_BYTES:
+                        raise LinkLost("the answer is too large", sent=True)
+        except TimeoutError as error:
+            self.close()
+            raise LinkLost("the answer has no end in time", sent=True) from error
+        except LinkLost:
+            self.close()
+            raise
         return bytes(body)
 
     def close(self) -> None:
@@ -103,7 +120,7 @@
     ) -> ClientResponse:
         """Send a request and return its response once the head has been received.
 
-        *timeout_ms* bounds each wait for bytes, and the time to connect unless
+        *timeout_ms* bounds the time to the end of the head, and the time to connect unless
         *connect_timeout_ms* is given. *fresh* uses a new connection, so that a failure to connect
         proves that nothing was sent; *max_idle_ms* bounds how long a reused connection may have
         been idle. *is_own* returns whether the headers are of a response to this request; other
@@ -187,11 +204,20 @@
     connection: ClientConnection, timeout_ms: float, is_own: Callable[[Headers], bool] | None
 ) -> h11.Response:
     """Return the head of the response to this request; responses to earlier ones are skipped."""
-    for _ in range(MAX_SKIPPED_ANSWERS):
-        head = await connection.next_head(timeout_ms)
-        if is_own is None or is_own(head.headers):
-            return head
-        while not isinstance(await connection.next_event(timeout_ms), h11.EndOfMessage):
-            pass
-        connection.skip_answer()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            skipped_bytes = 0
+            for _ in range(MAX_SKIPPED_ANSWERS):
+                head = await connection.next_head(timeout_ms)
+                if is_own is None or is_own(head.headers):
+                    return head
+                event = await connection.next_event(timeout_ms)
+                while not isinstance(event, h11.EndOfMessage):
+                    skipped_bytes += len(event.data)
+                    if skipped_bytes > MAX_SKIPPED_BYTES:
+                        raise LinkLost("an answer to another request is too large", sent=True)
+                    event = await connection.next_event(timeout_ms)
+                connection.skip_answer()
+    except TimeoutError as error:
+        raise LinkLost("no head of an answer in time", sent=True) from error
     raise LinkLost("answers to other requests only", sent=True)
--- a/src/skylarkrack/web/_connection.py
+++ b/src/skylarkrack/web/_connection.py
@@ -11,6 +11,12 @@
 MAX_UNREAD_BYTES = 262_144
 """Bound on buffered bytes of a response; beyond it reading from the socket is paused."""
 
+EVENT_OVERHEAD_BYTES = 256
+"""Memory of a buffered event beside its data, which is more than the data of a small chunk."""
+
+MAX_INTERIM_RESPONSES = 16
+"""Bound on the interim responses (1xx) before a response; beyond it `LinkLost` is raised."""
+
 ACKNOWLEDGEMENT_TIMEOUT_MS = 6000
 """How long sent bytes may be unacknowledged; beyond it the connection is broken, not slow."""
 
@@ -127,11 +133,12 @@
 
     async def next_head(self, timeout_ms: float) -> h11.Response:
         """Return the head of the response and skip interim ones; raises as `next_event` does."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event(timeout_ms)
             if isinstance(event, h11.Response):
                 self._read_connection_headers(event)
                 return event
+        raise LinkLost("interim responses without end", sent=True)
 
     async def next_event(self, timeout_ms: float) -> object:
         """Return the next event of the parser, waiting at most *timeout_ms* for it.
@@ -141,11 +148,9 @@
         if not self._events:
             await self._wait(timeout_ms)
         event = self._events.popleft()
-        if isinstance(event, h11.Data):
-            self._unread_bytes -= len(event.data)
-            if self._is_paused and self._unread_bytes < MAX_UNREAD_BYTES // 2:
-                self._is_paused = False
-                self._transport.resume_reading()
+        self._unread_bytes -= _size_of(event)
+        if self._is_paused and self._unread_bytes < MAX_UNREAD_BYTES // 2:
+            self._resume()
         return event
 
     def prepare_reuse(self, now_s: float) -> bool:
@@ -175,21 +180,32 @@
         except (h11.RemoteProtocolError, RuntimeError) as error:
             self._is_unusable = True
             self._fail(error)
-            return
-        if self._unread_bytes > MAX_UNREAD_BYTES and not self._is_paused:
-            self._is_paused = True
-            self._transport.pause_reading()
+
+    def _resume(self) -> None:
+        """Parse what was received before the pause, and read on unless it fills the buffer."""
+        self._is_paused = False
+        try:
+            self._parse()
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            self._is_unusable = True
+            self._fail(error)
+        if not self._is_paused and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _parse(self) -> None:
+        """Parse received bytes until none are left or the buffered events fill the buffer."""
         while True:
+            if self._unread_bytes > MAX_UNREAD_BYTES:
+                self._is_paused = True
+                self._transport.pause_reading()
+                break
             event = self._h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             if isinstance(event, h11.ConnectionClosed):
                 self._fail(ConnectionResetError("closed before the end"))
                 break
-            if isinstance(event, h11.Data):
-                self._unread_bytes += len(event.data)
+            self._unread_bytes += _size_of(event)
             self._events.append(event)
             if isinstance(event, h11.EndOfMessage):
                 break
@@ -249,6 +265,11 @@
                 self._is_unusable = True
 
 
+def _size_of(event: object) -> int:
+    """Return the memory that a buffered event takes, in bytes."""
+    return EVENT_OVERHEAD_BYTES + (len(event.data) if isinstance(event, h11.Data) else 0)
+
+
 def _parse_keep_alive_s(value: bytes) -> int | None:
     """Return the time-out in a keep-alive header such as `timeout=5, max=100`, or None."""
     for parameter in value.decode("latin-1").split(","):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -41,6 +41,23 @@
         self._item_by_key: dict[str, dict] = {}
         self._log: list[dict] = []
         self._changed = asyncio.Event()
+        self.era = 1
+
+    def rewind(self, revision: int) -> None:
+        """Restore the state at an earlier revision, as after a loss of the newest writes.
+
+        The era rises by one, and the revisions after *revision* are given out again.
+        """
+        self.era += 1
+        self.revision = revision
+        self._log = [event for event in self._log if event["rev"] <= revision]
+        self._item_by_key = {}
+        for event in self._log:
+            if event.get("removed"):
+                self._item_by_key.pop(event["key"], None)
+            else:
+                self._item_by_key[event["key"]] = event
+        self._notify()
 
     def put(self, key: str, value: bytes) -> None:
         """Store *value* under *key* at the next revision and notify watches."""
@@ -66,6 +83,9 @@
 
     def _append_event(self, event: dict) -> None:
         self._log.append(event)
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -93,13 +113,17 @@
         keys = sorted(k for k in self._item_by_key if k.startswith(prefix) and k > after)
         items = [self._item_by_key[key] for key in keys[:MAX_PAGE_ITEMS]]
         has_more = len(keys) > MAX_PAGE_ITEMS
-        write_json(responder, {"items": items, "has-more": has_more, "as-of": self.revision})
+        self._write(responder, {"items": items, "has-more": has_more, "as-of": self.revision})
+
+    def _write(self, responder: Responder, page: dict, *, status: int = 200) -> None:
+        era = [(b"store-era", str(self.era).encode())]
+        write_json(responder, page, status=status, headers=era)
 
     async def _answer_watch(
         self, responder: Responder, prefix: str, after: int, wait_ms: int
     ) -> None:
-        if self.faults.history_lost:
-            write_json(responder, {}, status=410)
+        if self.faults.history_lost or after > self.revision:
+            self._write(responder, {}, status=410)
             return
         try:
             async with asyncio.timeout(wait_ms / 1000):
@@ -110,7 +134,9 @@
         if self.faults.lose_answers:
             responder.cut()
             return
-        write_json(responder, {"events": self._events_after(prefix, after), "as-of": self.revision})
+        self._write(
+            responder, {"events": self._events_after(prefix, after), "as-of": self.revision}
+        )
 
     def _events_after(self, prefix: str, after: int) -> list[dict]:
         return [e for e in self._log if e["rev"] > after and e["key"].startswith(prefix)]
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -123,12 +123,15 @@
     return reply
 
 
-def refusal(status: str = "503 Service Unavailable") -> Reply:
-    """Return a reply with `X-Not-Executed`: the endpoint did not run the request."""
+def refusal(status: str = "503 Service Unavailable", *, extra: str = "") -> Reply:
+    """Return a reply with `X-Not-Executed`: the endpoint did not run the request.
+
+    *extra* holds additional header lines, each with its line end.
+    """
 
     async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
         writer.write(
-            f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n{extra}Content-Length: 0\r\n\r\n".encode()
         )
         await writer.drain()
         return True
@@ -136,17 +139,18 @@
     return reply
 
 
-def stream(*events: bytes, ends: bool = True) -> Reply:
+def stream(*events: bytes, ends: bool = True, extra: str = "") -> Reply:
     """Return a reply that streams *events*.
 
-    Without *ends* the connection closes after them without the final chunk.
+    *extra* holds additional header lines, each with its line end. Without *ends* the connection
+    closes after the events without the final chunk.
     """
 
     async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
         attempt_id = request.headers.get("x-attempt-id", "")
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt_id}\r\nX-Response-Seal: s\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+            f"{extra}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
         )
         for event in events:
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,7 +10,7 @@
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack.platform import _store, _watch
 from skylarkrack.platform._documents import decode_table
-from skylarkrack.platform._store import WATCH_SLACK_MS, HistoryLost, Store
+from skylarkrack.platform._store import WATCH_SLACK_MS, EraRecord, HistoryLost, Store
 from skylarkrack.platform._watch import WATCH_WAIT_MS, StoreWatcher, watch_pause_ms
 from standins.platform_store import PlatformStore, StoreFaults
 from tests.platform_builders import as_bytes, config, registration
@@ -48,6 +48,9 @@
     def registry_restored(self) -> None:
         self._append("back")
 
+    def registry_rewound(self) -> None:
+        self._append("rewound")
+
     async def wait_until_recorded(self, *notification: object) -> None:
         """Wait until *notification* is recorded; raises `TimeoutError` after 5 s."""
         async with asyncio.timeout(5):
@@ -121,6 +124,23 @@
         finally:
             _store.WATCH_SLACK_MS = slack_ms
 
+    async def test_an_answer_of_an_earlier_era_is_not_used(self) -> None:
+        eras = EraRecord()
+        late = Store(self.address, eras)
+        self.addCleanup(late.close)
+        waiting = asyncio.create_task(late.watch("servers/", self.platform.revision, wait_ms=200))
+        await asyncio.sleep(0.05)
+        eras.observe(self.platform.era + 1)
+        with self.assertRaises(PlatformUnreachable):
+            await waiting
+
+    async def test_a_watch_from_a_revision_that_the_copy_lacks(self) -> None:
+        self.platform.put("servers/i-1", b"x")
+        revision = self.platform.revision
+        self.platform.rewind(revision - 1)
+        with self.assertRaises(HistoryLost):
+            await self.store.watch("servers/", revision, wait_ms=1)
+
 
 class TestPauses(unittest.TestCase):
     """The pause between watches of the registrations."""
@@ -188,6 +208,43 @@
         self.platform.faults = StoreFaults()
         await self.listener.wait_until_recorded("back")
 
+    async def rewind(self, revision: int) -> None:
+        """Restore the store's state at *revision* while the watcher waits for changes."""
+        self.platform.rewind(revision)
+        await self.listener.wait_until_recorded("rewound")
+
+    async def test_a_rewind_during_a_watch_causes_a_new_listing(self) -> None:
+        revision = self.platform.revision
+        self.watcher.start()
+        await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+        await self.rewind(revision)
+        self.assertEqual(self.listener.notifications[-1], ("listed", ["i-1"], ["i-2"]))
+
+    async def test_revisions_that_are_given_out_again_hide_no_change(self) -> None:
+        """A process that was frozen across the rewind has a revision that exists again."""
+        revision = self.platform.revision
+        self.watcher.start()
+        await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+        self.platform.rewind(revision)
+        for number in (4, 5, 6):
+            registered = as_bytes(registration(f"10.0.0.{number}:80"))
+            self.platform.put(f"servers/i-{number}", registered)
+        await self.listener.wait_until_recorded("listed", ["i-1", "i-4", "i-5", "i-6"], ["i-2"])
+
+    async def test_two_rewinds_in_a_row(self) -> None:
+        revision = self.platform.revision
+        self.watcher.start()
+        await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+        await self.rewind(revision)
+        self.platform.rewind(revision - 1)
+        await self.listener.wait_until_recorded("listed", ["i-1"], [])
+
     async def test_few_calls_go_to_a_store_that_refuses(self) -> None:
         self.platform.faults = StoreFaults(status=429)
         self.watcher.start()
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -195,6 +195,33 @@
         await until(lambda: one.describe()["members"]["entry"] == ["n2"])
 
 
+class TestLeavingEndpoints(unittest.IsolatedAsyncioTestCase):
+    """One entry learns from a response that an endpoint is about to stop."""
+
+    async def start(self, relay_settings: RelaySettings) -> RelayEntry:
+        """Start an entry that has the configuration and knows the endpoint `e1`."""
+        started = entry(relay_settings)
+        await started.start()
+        self.addAsyncCleanup(started.close)
+        started.registry.table_published(as_bytes(config()))
+        started.registry.endpoints_listed([endpoint("e1", service="desk")], set())
+        return started
+
+    def is_used(self, member: RelayEntry) -> bool:
+        """Return whether the entry sends requests to the endpoint."""
+        return bool(member._context.dispatcher.directory.of_service("desk"))
+
+    async def test_the_others_and_an_entry_that_starts_later_learn_it(self) -> None:
+        seed = settings("n1")
+        one = await self.start(seed)
+        two = await self.start(settings("n2", seed.peers))
+        await until(lambda: two.count_entries() == one.count_entries() == 2)
+        one._context.placement_queue.mark_leaving(endpoint("e1").key)
+        await until(lambda: not self.is_used(two))
+        three = await self.start(settings("n3", seed.peers))
+        await until(lambda: not self.is_used(three))
+
+
 class TestAgent(unittest.IsolatedAsyncioTestCase):
     """An agent loads an adapter that a request waits for, and the request is then sent."""
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from skylarkrack._clock import monotonic_ms
 from standins.platform_worker import (
     PlatformWorker,
     Reply,
@@ -416,3 +417,55 @@
             for number in range(3):
                 await harness.send_raw(request(request_id=f"r{number}"))
             self.assertEqual(harness.entry.granted(), {"singers": 0.0})
+
+
+class TestLeavingAndPausedEndpoints(PathTest):
+    """Endpoints that say that they are about to stop, or that they want no requests for a time."""
+
+    async def test_no_request_follows_an_answer_of_a_leaving_endpoint(self) -> None:
+        leaving = "Server-Leaving: 1\r\n"
+        for first in (
+            answer(extra=leaving),
+            answer(status="404 Not Found", extra=leaving),
+            answer(status="500 Failed", extra=leaving),
+        ):
+            worker, other = PlatformWorker([first, answer()]), PlatformWorker([answer()])
+            async with EntryHarness(worker, other) as harness:
+                while not worker.received:
+                    await harness.send_raw(request("/pay/1", method="POST"))
+                for _ in range(5):
+                    await harness.send_raw(request("/pay/1", method="POST"))
+            self.assertEqual(len(worker.received), 1)
+            self.assertGreaterEqual(len(other.received), 5)
+
+    async def test_a_stream_of_a_leaving_endpoint_goes_on(self) -> None:
+        worker = PlatformWorker([stream(*EVENTS, extra="Server-Leaving: 1\r\n")])
+        async with EntryHarness(worker, service="llm") as harness:
+            self.assertTrue(is_whole(await harness.send_raw(model_request())))
+            self.assertEqual(status_of(await harness.send_raw(model_request())), 503)
+        self.assertEqual(len(worker.received), 1)
+
+    async def test_a_paused_endpoint_gets_no_request_until_its_pause_ends(self) -> None:
+        worker = PlatformWorker([refusal(extra="Retry-After: 0.4\r\n"), answer()])
+        async with EntryHarness(worker) as harness:
+            started_ms = monotonic_ms()
+            response = await harness.send_raw(request("/pay/1", method="POST"))
+            self.assertEqual(status_of(response), 200)
+            self.assertGreaterEqual(monotonic_ms() - started_ms, 400)
+        self.assertEqual(len(worker.received), 2)
+
+    async def test_a_pause_beyond_the_deadline_refuses_at_once_until_it_ends(self) -> None:
+        worker = PlatformWorker([refusal(extra="Retry-After: 5\r\n")])
+        async with EntryHarness(worker) as harness:
+            for _ in range(3):
+                response = await harness.send_raw(request("/pay/1", method="POST"))
+                self.assertEqual(status_of(response), 503)
+                self.assertIn(b"retry-after", response.lower())
+        self.assertEqual(len(worker.received), 1)
+
+    async def test_a_pause_is_no_failure_of_the_endpoint(self) -> None:
+        worker = PlatformWorker([refusal(extra="Retry-After: 0.1\r\n"), answer()])
+        async with EntryHarness(worker) as harness:
+            await harness.send_raw(request("/pay/1", method="POST"))
+            health = harness.entry._context.dispatcher.health
+            self.assertEqual(health.failure_ratio((worker.address, 1000), monotonic_ms()), 0.0)
