Read the store from one entry in each failure domain

Ruled out: fetching everything from peers (the configuration over 10 Mbit/s links takes most of a second for each), and raw events in datagrams (every heartbeat of every engine with its adapters).

The others apply a step that continues from their revision, read the store themselves on a gap, another era, changed publications or 1.2 s (2.4 s) of silence, and call it less often while it fails. A peer's newer table causes an own read before a fetch from the peer.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -43,6 +43,14 @@
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._quota_limiter import QuotaLimiter, phase_of
+from skylarkrack.core.relay._store_feed import (
+    FeedHistory,
+    FeedKind,
+    FeedStep,
+    StepUse,
+    is_reader,
+    use_of,
+)
 from skylarkrack.core.relay._table import (
     CallerLimits,
     EngineShape,
@@ -74,6 +82,9 @@
     "EngineReport",
     "EngineShape",
     "EngineState",
+    "FeedHistory",
+    "FeedKind",
+    "FeedStep",
     "FinalFailure",
     "Health",
     "EndpointKey",
@@ -94,6 +105,7 @@
     "RoutingTable",
     "SendTo",
     "Service",
+    "StepUse",
     "TablePublished",
     "PendingRequest",
     "Refuse",
@@ -105,5 +117,7 @@
     "digest_of_endpoint",
     "digest_of_key",
     "broadcast_recipients",
+    "is_reader",
     "phase_of",
+    "use_of",
 ]
--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -136,7 +136,7 @@
         """Record that the registry answers again."""
         if self._is_registry_lost:
             self._is_registry_lost = False
-            self._restored_ms = now_ms
+            self._restored_ms = max(self._restored_ms, now_ms)
 
     def registry_rewound(self, now_ms: float) -> None:
         """Record that the registry was restored from an older copy.
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -418,3 +418,28 @@
     domain: str
     passes_on: bool
     endpoints: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreStep:
+    """What an entry read from the store, for the entries of its failure domain, in a datagram.
+
+    It holds the changes of one *era* after the revision *base* up to *revision*. *kind* is
+    `registrations` or `publications`. Without *is_complete* there were further changes. *endpoints*
+    holds rows of [id, service, address, domain, slots, start in ms, is leaving, warm-up left in
+    ms, rows of [adapter, version] by model or None], and *removed* the ids of registrations that
+    ended. *restored_ago_ms* is the time since the store came back after an outage, or -1.
+    """
+
+    vm: str
+    address: str
+    domain: str
+    passes_on: bool
+    kind: str
+    era: int
+    base: int
+    revision: int
+    is_complete: bool
+    endpoints: list
+    removed: list
+    restored_ago_ms: float
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -2,16 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
+from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack._events import Event, log
+from skylarkrack.core.relay import Endpoint, FeedKind, FeedStep, StepUse, use_of
 from skylarkrack.platform._documents import (
     DocumentRejected,
     decode_endpoint,
     decode_version,
 )
 from skylarkrack.platform._store import EraRecord, HistoryLost, KeyValue, KeyValueBatch, Store
-from skylarkrack.relay import RegistryListener
+from skylarkrack.relay import RegistryListener, StepExchange
 
 PUBLICATIONS_PREFIX = "op/"
 TABLE_KEY = "op/config"
@@ -56,17 +59,40 @@
 """
 
 
+FOLLOWER_RETRY_MS = 1000
+"""Pause after a failed call of an entry that is not the reader of its failure domain.
+
+The reader calls more often, and passes on that the store answers again.
+"""
+
+SILENT_AFTER_MS = {FeedKind.REGISTRATIONS: 1200.0, FeedKind.PUBLICATIONS: 2400.0}
+"""Silence of the reader after which an entry reads the store itself.
+
+Registrations change several times a second, so that a reader passes something on after each pause.
+Publications are passed on after each watch at the latest, and peers report newer ones besides.
+"""
+
+
 class PrefixWatcher:
-    """Reads all keys under a prefix, then watches for changes until it is closed."""
+    """Reads all keys under a prefix, then follows their changes until it is closed.
+
+    An entry that reads the store for its failure domain watches the keys and passes on what
+    changed. Another one applies what its reader passes on, and watches the keys itself when that is
+    not enough.
+    """
 
     __slots__ = (
+        "_change_handler",
         "_era",
-        "_pause_ms",
+        "_exchange",
         "_is_unreachable",
+        "_kind",
+        "_pause_ms",
         "_prefix",
+        "_restored_ms",
+        "_step_received_ms",
         "_store",
         "_task",
-        "_change_handler",
     )
 
     def __init__(
@@ -76,13 +102,18 @@
         handler: "PublicationHandler",
         *,
         pause_ms: Callable[[], float],
+        exchange: StepExchange,
     ) -> None:
         self._store = store
         self._prefix = prefix
+        self._kind = handler.kind
         self._change_handler = handler
         self._pause_ms = pause_ms
+        self._exchange = exchange
         self._is_unreachable = False
         self._era: int | None = None
+        self._restored_ms: float | None = None
+        self._step_received_ms = float("-inf")
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -107,33 +138,72 @@
                 revision = None
             except PlatformUnreachable as error:
                 self._mark_unreachable(str(error))
-                await asyncio.sleep(retry_ms / 1000)
-                retry_ms = (
-                    MIN_RETRY_PAUSE_MS
-                    if revision is None
-                    else min(MAX_RETRY_PAUSE_MS, 2 * retry_ms)
-                )
+                if revision is None:
+                    retry_ms = MIN_RETRY_PAUSE_MS
+                    await asyncio.sleep(retry_ms / 1000)
+                elif self._exchange.is_reader():
+                    await asyncio.sleep(retry_ms / 1000)
+                    retry_ms = min(MAX_RETRY_PAUSE_MS, 2 * retry_ms)
+                else:
+                    revision = await self._follow_for(FOLLOWER_RETRY_MS, revision)
 
     async def _read_once(self, revision: int | None) -> int:
-        """Do one listing, or one watch after *revision*; return the revision that was reached."""
+        """List the keys, or read or receive changes after *revision*; return the new revision."""
         if revision is None:
-            listing = await self._store.read_all(self._prefix)
-            self._mark_reachable()
-            if self._era is not None and listing.era != self._era:
-                log(Event.STORE_REWOUND, prefix=self._prefix, era=listing.era, before=self._era)
-                self._change_handler.handle_rewind()
-            self._era = listing.era
-            self._change_handler.handle_listing(listing)
-            return listing.revision
-        await asyncio.sleep(self._pause_ms() / 1000)
+            return await self._list()
+        if self._exchange.is_reader():
+            await asyncio.sleep(self._pause_ms() / 1000)
+            return await self._watch(revision)
+        silent_in_ms = self._step_received_ms + SILENT_AFTER_MS[self._kind] - monotonic_ms()
+        wait_ms = silent_in_ms if silent_in_ms > 0 else self._pause_ms()
+        step = await self._exchange.next_step(self._kind, timeout_ms=wait_ms)
+        use = None if step is None else use_of(step, era=self._era, revision=revision)
+        if use in (StepUse.APPLY, StepUse.KNOWN):
+            return self._apply(step, revision)
+        if use is StepUse.IGNORE:
+            return revision
+        if use is StepUse.READ:
+            self._step_received_ms = monotonic_ms()
+        return await self._watch(revision)
+
+    async def _list(self) -> int:
+        listing = await self._store.read_all(self._prefix)
+        self._mark_reachable()
+        if self._era is not None and listing.era != self._era:
+            log(Event.STORE_REWOUND, prefix=self._prefix, era=listing.era, before=self._era)
+            self._change_handler.handle_rewind()
+        self._era = listing.era
+        self._change_handler.handle_listing(listing)
+        return listing.revision
+
+    async def _watch(self, revision: int) -> int:
         changes = await self._store.watch(self._prefix, revision, wait_ms=WATCH_WAIT_MS)
         self._mark_reachable()
         if changes.era != self._era:
             # The revision of the last read means something else in this era.
             raise HistoryLost
-        for key_value in changes.items:
-            self._change_handler.handle_change(key_value)
-        return max(revision, changes.revision)
+        step = self._change_handler.handle_changes(changes, base=revision)
+        self._exchange.publish(replace(step, restored_ago_ms=self._restored_ago_ms()))
+        return step.revision
+
+    async def _follow_for(self, time_ms: float, revision: int) -> int:
+        """Wait until the store may be called again; return the revision reached.
+
+        What the reader of the failure domain passes on ends the wait.
+        """
+        step = await self._exchange.next_step(self._kind, timeout_ms=time_ms)
+        use = None if step is None else use_of(step, era=self._era, revision=revision)
+        return self._apply(step, revision) if use in (StepUse.APPLY, StepUse.KNOWN) else revision
+
+    def _apply(self, step: FeedStep, revision: int) -> int:
+        self._step_received_ms = monotonic_ms()
+        self._mark_reachable()
+        if step.revision > revision:
+            self._change_handler.handle_step(step)
+        return max(revision, step.revision)
+
+    def _restored_ago_ms(self) -> float | None:
+        return None if self._restored_ms is None else monotonic_ms() - self._restored_ms
 
     def _mark_unreachable(self, reason: str) -> None:
         if not self._is_unreachable:
@@ -143,6 +213,7 @@
     def _mark_reachable(self) -> None:
         if self._is_unreachable:
             self._is_unreachable = False
+            self._restored_ms = monotonic_ms()
             self._change_handler.handle_reachable()
 
 
@@ -151,6 +222,8 @@
 
     __slots__ = ("_listener",)
 
+    kind = FeedKind.PUBLICATIONS
+
     def __init__(self, listener: RegistryListener) -> None:
         self._listener = listener
 
@@ -170,6 +243,21 @@
         for key_value in listing.items:
             self.handle_change(key_value)
 
+    def handle_changes(self, changes: KeyValueBatch, *, base: int) -> FeedStep:
+        """Handle what changed after *base*; return the step to pass on, without the documents."""
+        for key_value in changes.items:
+            self.handle_change(key_value)
+        return FeedStep(
+            kind=self.kind,
+            era=changes.era,
+            base=base,
+            revision=max(base, changes.revision),
+            is_complete=not changes.items,
+        )
+
+    def handle_step(self, step: FeedStep) -> None:
+        """Do nothing: a step that can be applied has no changes of documents."""
+
     def handle_change(self, key_value: KeyValue) -> None:
         """Handle one written or removed key; removed documents stay in force."""
         if key_value.value is None:
@@ -188,6 +276,8 @@
 
     __slots__ = ()
 
+    kind = FeedKind.REGISTRATIONS
+
     def handle_unreachable(self, reason: str) -> None:
         """Notify the listener that the store stopped answering."""
         self._listener.registry_lost(reason)
@@ -214,17 +304,46 @@
                 endpoints.append(endpoint)
         self._listener.endpoints_listed(endpoints, unreadable)
 
-    def handle_change(self, key_value: KeyValue) -> None:
-        """Handle one written or removed registration; an invalid one changes nothing."""
-        if key_value.value is None:
-            self._listener.endpoint_removed(key_value.key.removeprefix(REGISTRATIONS_PREFIX))
-            return
-        endpoint = _decode_registration(key_value)
-        if endpoint is not None:
+    def handle_changes(self, changes: KeyValueBatch, *, base: int) -> FeedStep:
+        """Handle what changed after *base*; return the step to pass on.
+
+        An invalid registration changes nothing.
+        """
+        endpoint_by_id: dict[str, Endpoint] = {}
+        removed: dict[str, None] = {}
+        for key_value in changes.items:
+            endpoint_id = key_value.key.removeprefix(REGISTRATIONS_PREFIX)
+            if key_value.value is None:
+                self._listener.endpoint_removed(endpoint_id)
+                endpoint_by_id.pop(endpoint_id, None)
+                removed[endpoint_id] = None
+                continue
+            endpoint = _decode_registration(key_value)
+            if endpoint is not None:
+                self._listener.endpoint_put(endpoint)
+                endpoint_by_id[endpoint_id] = endpoint
+                removed.pop(endpoint_id, None)
+        return FeedStep(
+            kind=self.kind,
+            era=changes.era,
+            base=base,
+            revision=max(base, changes.revision),
+            is_complete=True,
+            endpoints=tuple(endpoint_by_id.values()),
+            removed=tuple(removed),
+        )
+
+    def handle_step(self, step: FeedStep) -> None:
+        """Handle registrations that a peer has read."""
+        if step.restored_ago_ms is not None:
+            self._listener.registry_restored_before(step.restored_ago_ms)
+        for endpoint in step.endpoints:
             self._listener.endpoint_put(endpoint)
+        for endpoint_id in step.removed:
+            self._listener.endpoint_removed(endpoint_id)
 
 
-def _decode_registration(key_value: KeyValue) -> object | None:
+def _decode_registration(key_value: KeyValue) -> Endpoint | None:
     try:
         return decode_endpoint(key_value.key.removeprefix(REGISTRATIONS_PREFIX), key_value.value)
     except DocumentRejected as error:
@@ -243,9 +362,17 @@
     __slots__ = ("_watchers", "_stores")
 
     def __init__(
-        self, address: str, listener: RegistryListener, *, count_entries: Callable[[], int]
+        self,
+        address: str,
+        listener: RegistryListener,
+        *,
+        count_entries: Callable[[], int],
+        exchange: StepExchange,
     ) -> None:
-        """*count_entries* returns the number of entries that read the store."""
+        """*count_entries* returns the number of live entries of the fleet.
+
+        *exchange* connects this entry with the others of its failure domain.
+        """
         # One connection for each prefix, since a watch occupies its connection while it waits.
         eras = EraRecord()
         self._stores = (Store(address, eras), Store(address, eras))
@@ -255,12 +382,14 @@
                 PUBLICATIONS_PREFIX,
                 PublicationHandler(listener),
                 pause_ms=lambda: 0.0,
+                exchange=exchange,
             ),
             PrefixWatcher(
                 self._stores[1],
                 REGISTRATIONS_PREFIX,
                 RegistrationHandler(listener),
                 pause_ms=lambda: watch_pause_ms(count_entries()),
+                exchange=exchange,
             ),
         )
 
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -33,7 +33,10 @@
     if role == "entry":
         entry = RelayEntry(settings.relay, codec=PlatformCodec(), incarnation=incarnation)
         return entry, StoreWatcher(
-            settings.store, entry.registry, count_entries=entry.count_entries
+            settings.store,
+            entry.registry,
+            count_entries=entry.count_entries,
+            exchange=entry.store_feed,
         )
     # An agent stores nothing, so its fence is the calendar time: a later start has a higher one.
     agent = EngineAgent(
--- a/src/skylarkrack/relay/__init__.py
+++ b/src/skylarkrack/relay/__init__.py
@@ -9,7 +9,7 @@
 from skylarkrack.relay._engine_agent import EngineAgent
 from skylarkrack.relay._entry import RelayEntry
 from skylarkrack.relay._log_sink import LogSink
-from skylarkrack.relay._registry import EnginePort, RegistryListener, Watcher
+from skylarkrack.relay._registry import EnginePort, RegistryListener, StepExchange, Watcher
 from skylarkrack.relay._settings import RelaySettings
 
 __all__ = [
@@ -23,5 +23,6 @@
     "RelayEntry",
     "RelaySettings",
     "ResponseClassification",
+    "StepExchange",
     "Watcher",
 ]
--- a/src/skylarkrack/relay/_datagrams.py
+++ b/src/skylarkrack/relay/_datagrams.py
@@ -57,7 +57,7 @@
             return
         try:
             self._handle(message, data, sender)
-        except (TypeError, ValueError, IndexError, KeyError) as error:
+        except (TypeError, ValueError, LookupError, AttributeError) as error:
             # Decoding checks the types of fields. Rows in a field are checked only on use.
             self.rejected += 1
             log(Event.HANDLER_FAILED, sender=sender, error=repr(error))
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -23,6 +23,7 @@
 from skylarkrack.relay._endpoint_clients import EndpointClients
 from skylarkrack.relay._gossip import RETRY_SLACK_SHARE, TICK_MS, Gossip
 from skylarkrack.relay._placement_queue import PlacementQueue
+from skylarkrack.relay._registry import StepExchange
 from skylarkrack.relay._registry_view import RegistryView
 from skylarkrack.relay._request_handler import RequestHandler
 from skylarkrack.relay._settings import RelaySettings
@@ -96,6 +97,7 @@
         self._gossip = Gossip(
             settings, context=self._context, config_sync=self._config_sync, incarnation=incarnation
         )
+        self._config_sync.request_read = self._gossip.feed.request_read
         self._context.placement_queue.on_wait = self._gossip.send_demand_now
         self._context.placement_queue.on_leaving = self._gossip.announce_leaving
         self._caller_server = self._make_server(
@@ -171,6 +173,11 @@
         """Return the number of live entries, including this one."""
         return self._gossip.count_entries()
 
+    @property
+    def store_feed(self) -> StepExchange:
+        """The exchange of what was read from the store with the entries of the failure domain."""
+        return self._gossip.feed
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send requests here.
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -25,11 +25,13 @@
     EngineSnapshot,
     LeavingEndpoints,
     RelayState,
+    StoreStep,
 )
 from skylarkrack.relay._config_sync import ConfigSync
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.relay._settings import RelaySettings
+from skylarkrack.relay._store_feed import StoreFeed
 
 TICK_MS = 50.0
 """Time between checks of which messages are due."""
@@ -99,6 +101,7 @@
         "_sequence",
         "_settings",
         "_snapshot_by_endpoint",
+        "feed",
     )
 
     def __init__(
@@ -114,6 +117,11 @@
         self._config_sync = config_sync
         self._incarnation = incarnation
         self._peers = Peers(settings, ENTRY, on_message=self._on_message, on_join=self._on_join)
+        self.feed = StoreFeed(
+            self._peers.own,
+            list_entries=lambda: self._peers.alive(ENTRY),
+            send=self._peers.broadcast_in_domain,
+        )
         # Broadcasts left and the time of the next one, for each leaving endpoint.
         self._leaving_due_by_key: dict[EndpointKey, tuple[int, float]] = {}
         self._agent_address_by_endpoint: dict[str, str] = {}
@@ -159,6 +167,8 @@
             self._receive_heartbeat(message, now_ms)
         elif isinstance(message, LeavingEndpoints):
             self._receive_leaving(message)
+        elif isinstance(message, StoreStep):
+            self.feed.receive(message)
 
     def _on_join(self, contact: ProcessContact) -> None:
         """Send a new entry the endpoints that are known to be leaving."""
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -12,6 +12,7 @@
     LeavingEndpoints,
     RelayState,
     Roster,
+    StoreStep,
 )
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._settings import RelaySettings
@@ -23,6 +24,7 @@
     EngineSnapshot: AGENT,
     EngineHeartbeat: AGENT,
     LeavingEndpoints: ENTRY,
+    StoreStep: ENTRY,
 }
 _BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat, LeavingEndpoints)
 
@@ -96,6 +98,11 @@
         )
         self.send(message, *(contact.address for contact in receivers))
 
+    def broadcast_in_domain(self, message: StoreStep) -> None:
+        """Send a message to the live entries of this failure domain."""
+        receivers = (c for c in self.alive(ENTRY) if c.domain == self.own.domain)
+        self.send(message, *(contact.address for contact in receivers))
+
     def probe_silent(self, now_ms: float) -> None:
         """Send a roster to the seeds that are not known yet and the members that are silent."""
         for address in self._membership.addresses_to_probe(now_ms):
--- a/src/skylarkrack/relay/_registry.py
+++ b/src/skylarkrack/relay/_registry.py
@@ -2,7 +2,14 @@
 
 from typing import Protocol
 
-from skylarkrack.core.relay import Endpoint, EngineOrder, EngineReport, OrderResult
+from skylarkrack.core.relay import (
+    Endpoint,
+    EngineOrder,
+    EngineReport,
+    FeedKind,
+    FeedStep,
+    OrderResult,
+)
 
 
 class RegistryListener(Protocol):
@@ -29,10 +36,26 @@
     def registry_restored(self) -> None:
         """Record that the registry responds again."""
 
+    def registry_restored_before(self, time_ms: float) -> None:
+        """Record an outage of the registry that a peer noticed, and that ended *time_ms* ago."""
+
     def registry_rewound(self) -> None:
         """Record that the registry was restored from an older copy, which is listed next."""
 
 
+class StepExchange(Protocol):
+    """Exchanges with the entries of one failure domain what one of them read from the store."""
+
+    def is_reader(self) -> bool:
+        """Return whether this entry reads the store for its failure domain."""
+
+    def publish(self, step: FeedStep) -> None:
+        """Pass on what was read, if this entry is the reader."""
+
+    async def next_step(self, kind: FeedKind, *, timeout_ms: float) -> FeedStep | None:
+        """Return the next step of the reader; None after *timeout_ms* or to read at once."""
+
+
 class EnginePort(Protocol):
     """Calls to one model engine."""
 
--- a/src/skylarkrack/relay/_registry_view.py
+++ b/src/skylarkrack/relay/_registry_view.py
@@ -89,6 +89,12 @@
         log(Event.REGISTRY_BACK)
         self._context.dispatcher.directory.registry_restored(monotonic_ms())
 
+    def registry_restored_before(self, time_ms: float) -> None:
+        """Record an outage of the registry that a peer noticed, and that ended *time_ms* ago."""
+        directory = self._context.dispatcher.directory
+        directory.registry_lost()
+        directory.registry_restored(monotonic_ms() - time_ms)
+
     def registry_rewound(self) -> None:
         """Record that the registry was restored from an older copy."""
         self._context.dispatcher.directory.registry_rewound(monotonic_ms())
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -31,13 +31,14 @@
 class PlatformStore(StandIn):
     """Holds items with revisions, which tests write by `put` and `remove`.
 
-    `calls` lists the paths of all requests received.
+    `calls` lists the paths of all requests received, and `watched` the prefixes of the watches.
     """
 
     def __init__(self) -> None:
         super().__init__(StoreFaults())
         self.revision = 1
         self.calls: list[str] = []
+        self.watched: list[str] = []
         self._item_by_key: dict[str, dict] = {}
         self._log: list[dict] = []
         self._changed = asyncio.Event()
@@ -107,6 +108,7 @@
         if request.path == "/kv-range":
             self._answer_range(responder, prefix, query.get("after", "").replace("%2F", "/"))
         else:
+            self.watched.append(prefix)
             await self._answer_watch(responder, prefix, int(query["after"]), int(query["wait-ms"]))
 
     def _answer_range(self, responder: Responder, prefix: str, after: str) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,12 +8,14 @@
 import unittest
 
 from skylarkrack._errors import PlatformUnreachable
+from skylarkrack.core.relay import FeedKind, FeedStep
 from skylarkrack.platform import _store, _watch
 from skylarkrack.platform._documents import decode_table
 from skylarkrack.platform._store import WATCH_SLACK_MS, EraRecord, HistoryLost, Store
 from skylarkrack.platform._watch import WATCH_WAIT_MS, StoreWatcher, watch_pause_ms
 from standins.platform_store import PlatformStore, StoreFaults
 from tests.platform_builders import as_bytes, config, registration
+from tests.relay_builders import endpoint
 
 
 class RecordingListener:
@@ -48,6 +50,9 @@
     def registry_restored(self) -> None:
         self._append("back")
 
+    def registry_restored_before(self, time_ms: float) -> None:
+        self._append("restored before", time_ms)
+
     def registry_rewound(self) -> None:
         self._append("rewound")
 
@@ -59,6 +64,41 @@
                 await self._changed.wait()
 
 
+class Alone:
+    """The exchange of an entry that has no peers."""
+
+    def __init__(self) -> None:
+        self.published: list[FeedStep] = []
+
+    def is_reader(self) -> bool:
+        return True
+
+    def publish(self, step: FeedStep) -> None:
+        self.published.append(step)
+
+    async def next_step(self, kind: FeedKind, *, timeout_ms: float) -> FeedStep | None:
+        await asyncio.sleep(timeout_ms / 1000)
+        return None
+
+
+class Follower(Alone):
+    """The exchange of an entry whose reader sends the steps in *steps_by_kind*."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steps_by_kind = {kind: asyncio.Queue() for kind in FeedKind}
+
+    def is_reader(self) -> bool:
+        return False
+
+    async def next_step(self, kind: FeedKind, *, timeout_ms: float) -> FeedStep | None:
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self.steps_by_kind[kind].get()
+        except TimeoutError:
+            return None
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Base of the tests that run a stand-in for the store."""
 
@@ -160,11 +200,18 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.listener = RecordingListener()
-        self.watcher = StoreWatcher(self.address, self.listener, count_entries=lambda: 1)
+        self.exchange = self.make_exchange()
+        self.watcher = StoreWatcher(
+            self.address, self.listener, count_entries=lambda: 1, exchange=self.exchange
+        )
         self.platform.put("op/config", as_bytes(config(3)))
         self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
         self.platform.put("servers/i-2", b"\xff")
 
+    def make_exchange(self) -> Alone:
+        """Return the exchange with the entries of the failure domain."""
+        return Alone()
+
     async def asyncTearDown(self) -> None:
         await self.watcher.close()
         await super().asyncTearDown()
@@ -251,3 +298,96 @@
         await asyncio.sleep(0.5)
         max_calls = 2 * (1 + 500 / _watch.MIN_RETRY_PAUSE_MS)
         self.assertLessEqual(len(self.platform.calls), max_calls)
+
+    async def test_what_was_read_is_passed_on(self) -> None:
+        self.watcher.start()
+        await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+        base = self.platform.revision
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        self.platform.remove("servers/i-1")
+        await self.listener.wait_until_recorded("removed", "i-1")
+        steps = [s for s in self.exchange.published if s.kind is FeedKind.REGISTRATIONS]
+        self.assertEqual(steps[0].base, base)
+        self.assertEqual(steps[-1].revision, self.platform.revision)
+        self.assertEqual([e.endpoint_id for s in steps for e in s.endpoints], ["i-3"])
+        self.assertEqual([r for s in steps for r in s.removed], ["i-1"])
+
+
+class TestFollower(TestWatcher):
+    """An entry that relies on its reader; without its steps it behaves as an entry alone does."""
+
+    def make_exchange(self) -> Follower:
+        return Follower()
+
+    async def start(self) -> int:
+        """Start the watcher; return the revision of its listing."""
+        self.watcher.start()
+        await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+        return self.platform.revision
+
+    def step(self, base: int, revision: int, **changes: object) -> None:
+        """Pass a step of the reader to the watcher."""
+        fields = {"kind": FeedKind.REGISTRATIONS, "era": 1, "is_complete": True, **changes}
+        step = FeedStep(base=base, revision=revision, **fields)
+        self.exchange.steps_by_kind[step.kind].put_nowait(step)
+
+    def watches(self) -> int:
+        """Return how many watches of registrations the store has received."""
+        return self.platform.watched.count("servers/")
+
+    async def test_steps_replace_calls(self) -> None:
+        for kind, silence_ms in dict(_watch.SILENT_AFTER_MS).items():
+            self.addCleanup(_watch.SILENT_AFTER_MS.__setitem__, kind, silence_ms)
+            _watch.SILENT_AFTER_MS[kind] = 60_000.0
+        revision = await self.start()
+        self.step(revision, revision)
+        self.step(revision, revision + 1, endpoints=(endpoint("e4"),), removed=("i-1",))
+        await self.listener.wait_until_recorded("removed", "i-1")
+        self.assertIn(("put", "e4", False), self.listener.notifications)
+        before = self.watches()
+        for number in range(2, 12):
+            await asyncio.sleep(0.1)
+            self.step(revision + number - 1, revision + number)
+        self.assertEqual(self.watches(), before)
+
+    async def test_a_missing_step_causes_a_read(self) -> None:
+        revision = await self.start()
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        self.platform.put("servers/i-4", as_bytes(registration("10.0.0.4:80")))
+        self.step(revision + 1, revision + 2, endpoints=(endpoint("e4"),))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+        await self.listener.wait_until_recorded("put", "i-4", False)
+
+    async def test_changed_publications_are_read(self) -> None:
+        revision = await self.start()
+        self.platform.put("op/config", as_bytes(config(9)))
+        self.step(revision, revision + 1, kind=FeedKind.PUBLICATIONS, is_complete=False)
+        await self.listener.wait_until_recorded("table", 9)
+
+    async def test_a_silent_reader_is_replaced(self) -> None:
+        revision = await self.start()
+        self.step(revision, revision)
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+
+    async def test_a_step_of_a_later_era_causes_a_listing(self) -> None:
+        revision = await self.start()
+        self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
+        await self.listener.wait_until_recorded("put", "i-3", False)
+        self.platform.rewind(revision)
+        self.step(revision, revision, era=2)
+        await self.listener.wait_until_recorded("rewound")
+
+    async def test_a_late_step_of_an_earlier_era_changes_nothing(self) -> None:
+        self.platform.era = 5
+        revision = await self.start()
+        self.step(revision, revision + 9, endpoints=(endpoint("e4"),))
+        self.step(revision, revision + 1, era=5, endpoints=(endpoint("e5"),))
+        await self.listener.wait_until_recorded("put", "e5", False)
+        self.assertNotIn(("put", "e4", False), self.listener.notifications)
+
+    async def test_an_outage_that_the_reader_noticed_is_passed_on(self) -> None:
+        revision = await self.start()
+        self.step(revision, revision + 1, restored_ago_ms=70.0, removed=("i-1",))
+        await self.listener.wait_until_recorded("removed", "i-1")
+        self.assertIn(("restored before", 70.0), self.listener.notifications)
--- /dev/null
+++ b/tests/test_relay_store_feed.py
@@ -0,0 +1,196 @@
+"""What an entry passes on of the store, and what the others of its failure domain do with it.
+
+The load is a large fleet in which each entry read the store for itself. Guards against changes that
+a follower misses: through a lost message, a step of another era, or a change of the reader.
+"""
+
+import asyncio
+import unittest
+
+from skylarkrack.core.relay import (
+    FeedHistory,
+    FeedKind,
+    FeedStep,
+    ProcessContact,
+    StepUse,
+    is_reader,
+    use_of,
+)
+from skylarkrack.messages import StoreStep
+from skylarkrack.platform._watch import StoreWatcher
+from skylarkrack.relay import RelayEntry
+from skylarkrack.relay._store_feed import StoreFeed
+from skylarkrack.wire import decode, encode_body
+from standins.platform_store import PlatformStore
+from tests.platform_builders import as_bytes, config, registration
+from tests.relay_builders import endpoint
+from tests.test_relay_fleet import entry, settings, until
+
+
+def contact(vm: str, *, domain: str = "east", passes_on: bool = True) -> ProcessContact:
+    """Return an entry."""
+    return ProcessContact(
+        vm=vm, address=f"{vm}:1", role="entry", domain=domain, passes_on=passes_on
+    )
+
+
+def step(base: int, revision: int, **changes: object) -> FeedStep:
+    """Return a step of registrations in era 1."""
+    fields = {"kind": FeedKind.REGISTRATIONS, "era": 1, "is_complete": True}
+    return FeedStep(base=base, revision=revision, **{**fields, **changes})
+
+
+class TestReaders(unittest.TestCase):
+    """One entry of each failure domain reads the store."""
+
+    def test_one_reader_in_each_domain_whatever_the_size(self) -> None:
+        domains = ("a", "b", "c", "d", "e", "f")
+        fleet = [contact(f"n{n:04}", domain=domains[n % 6]) for n in range(300)]
+        readers = [own for own in fleet if is_reader(own, [c for c in fleet if c != own])]
+        self.assertEqual(sorted(reader.domain for reader in readers), list(domains))
+
+    def test_a_fast_link_goes_first(self) -> None:
+        slow, fast = contact("n1", passes_on=False), contact("n2")
+        self.assertFalse(is_reader(slow, [fast]))
+        self.assertTrue(is_reader(fast, [slow]))
+
+    def test_an_entry_alone_reads(self) -> None:
+        self.assertTrue(is_reader(contact("n2"), [contact("n1", domain="west")]))
+
+
+class TestUse(unittest.TestCase):
+    """What a follower at revision 10 of era 2 does with a step."""
+
+    def test_rows(self) -> None:
+        rows = (
+            (step(9, 12, era=1), StepUse.IGNORE),
+            (step(1, 2, era=3), StepUse.READ),
+            (step(8, 10, era=2), StepUse.KNOWN),
+            (step(8, 10, era=2, is_complete=False), StepUse.KNOWN),
+            (step(10, 12, era=2), StepUse.APPLY),
+            (step(8, 12, era=2), StepUse.APPLY),
+            (step(11, 12, era=2), StepUse.READ),
+            (step(10, 12, era=2, is_complete=False), StepUse.READ),
+        )
+        for received, use in rows:
+            with self.subTest(received):
+                self.assertIs(use_of(received, era=2, revision=10), use)
+
+
+class TestHistory(unittest.TestCase):
+    """The steps of a reader, sent as one."""
+
+    def setUp(self) -> None:
+        self.history = FeedHistory()
+
+    def test_a_step_covers_those_before_it(self) -> None:
+        self.history.add(step(0, 3, endpoints=(endpoint("e1"), endpoint("e2"))))
+        merged = self.history.add(step(3, 5, endpoints=(endpoint("e3"),), removed=("e1",)))
+        self.assertEqual((merged.base, merged.revision), (0, 5))
+        self.assertEqual([e.endpoint_id for e in merged.endpoints], ["e2", "e3"])
+        self.assertEqual(merged.removed, ("e1",))
+
+    def test_a_registration_that_follows_a_removal_counts(self) -> None:
+        self.history.add(step(0, 3, endpoints=(endpoint("e1"),)))
+        self.history.add(step(3, 5, removed=("e1",)))
+        merged = self.history.add(step(5, 6, endpoints=(endpoint("e1"),)))
+        self.assertEqual([e.endpoint_id for e in merged.endpoints], ["e1"])
+        self.assertEqual(merged.removed, ())
+
+    def test_heartbeats_without_a_change_are_left_out(self) -> None:
+        for number in range(4):
+            merged = self.history.add(step(number, number + 1, endpoints=(endpoint("e1"),)))
+        self.assertEqual(merged.endpoints, ())
+
+    def test_steps_that_do_not_continue_are_not_joined(self) -> None:
+        self.history.add(step(0, 3, endpoints=(endpoint("e1"),)))
+        self.assertEqual(self.history.add(step(7, 9)).base, 7)
+        self.assertEqual(self.history.add(step(9, 11, era=2)).base, 9)
+
+    def test_one_incomplete_step_makes_the_whole_incomplete(self) -> None:
+        self.history.add(step(0, 3, is_complete=False))
+        self.assertFalse(self.history.add(step(3, 5)).is_complete)
+
+
+class TestFeed(unittest.IsolatedAsyncioTestCase):
+    """A reader's message arrives as the step that it was."""
+
+    async def test_a_step_survives_the_wire(self) -> None:
+        sent: list[StoreStep] = []
+        reader = StoreFeed(contact("n1"), list_entries=lambda: [contact("n2")], send=sent.append)
+        other = StoreFeed(contact("n2"), list_entries=lambda: [contact("n1")], send=sent.append)
+        published = step(
+            3, 7, endpoints=(endpoint("e1", adapters_by_model={"m": {"a": 1}}),), removed=("e2",)
+        )
+        reader.publish(published)
+        other.publish(published)
+        self.assertEqual(len(sent), 1)
+        other.receive(decode(encode_body(sent[0])))
+        received = await other.next_step(FeedKind.REGISTRATIONS, timeout_ms=1000)
+        self.assertEqual(received, published)
+        self.assertIsNone(await other.next_step(FeedKind.REGISTRATIONS, timeout_ms=1))
+
+    async def test_a_requested_read_ends_the_wait(self) -> None:
+        feed = StoreFeed(contact("n1"), list_entries=list, send=lambda message: None)
+        asyncio.get_running_loop().call_soon(feed.request_read)
+        async with asyncio.timeout(5):
+            step_or_none = await feed.next_step(FeedKind.PUBLICATIONS, timeout_ms=60_000)
+        self.assertIsNone(step_or_none)
+
+
+class TestFleet(unittest.IsolatedAsyncioTestCase):
+    """Four entries of one failure domain before one store."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = PlatformStore()
+        await self.platform.start("127.0.0.1:0")
+        self.addAsyncCleanup(self.platform.close)
+        self.platform.put("op/config", as_bytes(config()))
+        self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
+        self.entries: list[RelayEntry] = []
+        self.watchers: list[StoreWatcher] = []
+        host, port = self.platform.bound_address
+        seeds: tuple[str, ...] = ()
+        for number in range(1, 5):
+            relay_settings = settings(f"n{number}", *seeds)
+            seeds = seeds or (relay_settings.peers,)
+            started = entry(relay_settings)
+            await started.start()
+            watcher = StoreWatcher(
+                f"{host}:{port}",
+                started.registry,
+                count_entries=started.count_entries,
+                exchange=started.store_feed,
+            )
+            watcher.start()
+            self.entries.append(started)
+            self.watchers.append(watcher)
+        self.addAsyncCleanup(self.stop, *range(4))
+        await until(lambda: all(e.count_entries() == 4 for e in self.entries))
+
+    async def stop(self, *numbers: int) -> None:
+        """Stop some of the entries."""
+        for number in numbers:
+            await self.watchers[number].close()
+            await self.entries[number].close()
+
+    def knows(self, number: int, endpoint_id: str) -> bool:
+        """Return whether an entry knows an endpoint."""
+        return endpoint_id in self.entries[number].describe()["endpoints"]
+
+    async def keep_changing(self) -> None:
+        """Change a registration every 100 ms, as heartbeats of a fleet do."""
+        while True:
+            self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
+            await asyncio.sleep(0.1)
+
+    async def test_changes_reach_all_while_one_reads_and_after_it_died(self) -> None:
+        heartbeats = asyncio.create_task(self.keep_changing())
+        self.addCleanup(heartbeats.cancel)
+        self.platform.put("servers/i-2", as_bytes(registration("10.0.0.2:80")))
+        await until(lambda: all(self.knows(number, "i-2") for number in range(4)))
+        self.platform.put("op/config", as_bytes(config(7)))
+        await until(lambda: all(e.describe()["table"] == 7 for e in self.entries))
+        await self.watchers[0].close()
+        self.platform.remove("servers/i-2")
+        await until(lambda: not any(self.knows(number, "i-2") for number in (1, 2, 3)))
