Take a margin off a quota only for what others granted in excess

Cause: with four entries a bucket's margin counted the debt that one exact bucket has too, since a request may exceed the level, and an exchange of 400 ms where four entries report each 100 ms.

Change: the margin is what others granted while the bucket was empty, or all grants of one exchange at the interval that the number of entries gives; the interval moves to core, beside membership.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -36,8 +36,10 @@
 from skylarkrack.core.relay._load import EndpointLoad, EngineState, LoadTracker
 from skylarkrack.core.relay._membership import (
     AGENT,
+    IDLE_BROADCAST_MS,
     Membership,
     ProcessContact,
+    broadcast_interval_ms,
     broadcast_recipients,
 )
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
@@ -66,6 +68,7 @@
 
 __all__ = [
     "AGENT",
+    "IDLE_BROADCAST_MS",
     "REREGISTRATION_GRACE_MS",
     "AdapterPublished",
     "Attempts",
@@ -116,6 +119,7 @@
     "group_by_host",
     "digest_of_endpoint",
     "digest_of_key",
+    "broadcast_interval_ms",
     "broadcast_recipients",
     "is_reader",
     "phase_of",
--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -24,6 +24,26 @@
 sent."""
 
 
+BUSY_BROADCAST_MS = 100.0
+"""Time between an entry's broadcasts of its state while its requests run, in a small fleet."""
+
+IDLE_BROADCAST_MS = 400.0
+"""Time between broadcasts without requests, below the age at which a peer's state is dropped."""
+
+ENTRIES_AT_FULL_RATE = 10
+"""Number of other entries above which each entry broadcasts less often.
+
+The interval then grows in proportion to their number, up to `IDLE_BROADCAST_MS`, so that the
+messages that one entry receives grow more slowly than the number of entries.
+"""
+
+
+def broadcast_interval_ms(other_entries: int) -> float:
+    """Return the time between broadcasts of an entry whose requests run."""
+    factor = max(1.0, other_entries / ENTRIES_AT_FULL_RATE)
+    return min(IDLE_BROADCAST_MS, BUSY_BROADCAST_MS * factor)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessContact:
     """A process of the system: its VM, the address it listens on, its role and failure domain.
--- a/src/skylarkrack/core/relay/_quota_limiter.py
+++ b/src/skylarkrack/core/relay/_quota_limiter.py
@@ -5,9 +5,9 @@
 the time of one exchange, which leaves the bucket in debt. The next grants pay the whole debt back.
 
 All entries see an empty bucket refill at the same time. If each of them granted a request then, the
-overshoot would grow with the number of entries. A bucket therefore has a margin: the depth of its
-recent debts, or what all entries together grant within one exchange, whichever is more. A level
-within the margin grants only a part of the requests, in proportion.
+overshoot would grow with the number of entries. A bucket therefore has a margin: what was recently
+granted out of an empty bucket, or what all entries together grant within one exchange, whichever is
+more. A level within the margin grants only a part of the requests, in proportion.
 
 A silent entry may be partitioned and still grant: an equal share of the
 rate is charged to the bucket for it, and settled when it reports again. So each side of a partition
@@ -18,6 +18,7 @@
 import zlib
 from dataclasses import dataclass, field, replace
 
+from skylarkrack.core.relay._membership import broadcast_interval_ms
 from skylarkrack.core.relay._table import Quota
 
 PEER_SILENT_AFTER_MS = 600.0
@@ -39,8 +40,8 @@
 MARGIN_HALF_LIFE_MS = 4000.0
 """Half-life of the margin after the last debt."""
 
-EXCHANGE_MS = 400.0
-"""Longest time between two reports of an entry that grants."""
+DELIVERY_MS = 50.0
+"""Time in which a report reaches all entries, over one that forwards it."""
 
 GRANT_RATE_WINDOW_MS = 1000.0
 """Time constant of the moving average of all entries' grants."""
@@ -53,8 +54,8 @@
 class _Bucket:
     """One bucket. *charged_by_peer* is what was taken for entries that are silent.
 
-    *margin* is the largest recent debt, or the tokens granted by all entries in one exchange, at
-    most the burst. *granted_per_ms* is the moving average of all entries' grants.
+    *margin* is at most the burst. *granted_per_ms* is the moving average of all grants, and
+    *granted_empty* what other entries granted since the bucket was last not empty.
     """
 
     quota: Quota
@@ -63,6 +64,7 @@
     charged_by_peer: dict[str, float] = field(default_factory=dict)
     margin: float = 0.0
     granted_per_ms: float = 0.0
+    granted_empty: float = 0.0
 
     def refill(self, now_ms: float, *, silent: list[str], share_per_s: float) -> None:
         elapsed_s = max(0.0, now_ms - self.updated_ms) / 1000
@@ -79,14 +81,14 @@
         self.level = max(self.level - amount, -MAX_DEBT_S * self.quota.rate_per_s)
         self.granted_per_ms += amount / GRANT_RATE_WINDOW_MS
 
-    def settle(self, peer: str, granted: float) -> None:
+    def settle(self, peer: str, granted: float, *, exchange_ms: float) -> None:
         """Replace what was charged for a silent entry by what it granted."""
         self.level = min(self.quota.burst, self.level + self.charged_by_peer.pop(peer, 0.0))
+        self.granted_empty = 0.0 if self.level > 0 else self.granted_empty + max(0.0, granted)
         self.deduct(granted)
         self.level = min(self.quota.burst, self.level)
-        if granted > 0:
-            unseen = max(-self.level, self.granted_per_ms * EXCHANGE_MS)
-            self.margin = min(self.quota.burst, max(self.margin, unseen))
+        unseen = max(self.granted_empty, self.granted_per_ms * exchange_ms)
+        self.margin = min(self.quota.burst, max(self.margin, unseen))
 
 
 @dataclass(slots=True)
@@ -202,6 +204,7 @@
         before = {} if known is None or is_restart else known.granted_by_organisation
         is_counted = is_restart or (known is not None and known.is_complete)
         silent: list[str] | None = None
+        exchange_ms = broadcast_interval_ms(len(self._peer_by_name)) + DELIVERY_MS
         for organisation, total in granted.items():
             bucket = self._bucket_by_organisation.get(organisation)
             if not self._is_shared or bucket is None:
@@ -213,7 +216,7 @@
                     silent = self._silent_peers(now_ms)
                 # Refilled first: a refill that comes after the deduction may pass the burst.
                 self._refill(bucket, silent, now_ms)
-                bucket.settle(peer, new_grants)
+                bucket.settle(peer, new_grants, exchange_ms=exchange_ms)
         self._peer_by_name[peer] = _Peer(
             incarnation, now_ms, is_counted or is_complete, before | granted
         )
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -9,6 +9,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import (
     AGENT,
+    IDLE_BROADCAST_MS,
     AdapterId,
     Endpoint,
     EndpointKey,
@@ -17,6 +18,7 @@
     EngineStateReceived,
     OutcomeCounts,
     ProcessContact,
+    broadcast_interval_ms,
     digest_of_endpoint,
 )
 from skylarkrack.messages import (
@@ -36,25 +38,12 @@
 TICK_MS = 50.0
 """Time between checks of which messages are due."""
 
-BUSY_BROADCAST_MS = 100.0
-"""Time between broadcasts of the state while requests of this entry run."""
-
-IDLE_BROADCAST_MS = 400.0
-"""Time between broadcasts without requests, below the age at which a peer's state is dropped."""
-
 FULL_GRANTS_MS = 2000.0
 """Time between broadcasts of the grants of all organisations; those in between hold only changes.
 
 A change that was lost with its datagram is repaired within this time.
 """
 
-ENTRIES_AT_FULL_RATE = 10
-"""Number of other entries above which each entry broadcasts less often.
-
-The interval then grows in proportion to their number, up to `IDLE_BROADCAST_MS`, so that the
-messages that one entry receives grow more slowly than the number of entries.
-"""
-
 BUSY_DEMAND_MS = 500.0
 """Time between demands sent to an agent whose engine has runs of this entry.
 
@@ -269,12 +258,7 @@
     def _broadcast_state(self, now_ms: float) -> None:
         own = self._context.dispatcher.own_loads(now_ms)
         entries = self._peers.alive(ENTRY)
-        interval_factor = max(1.0, len(entries) / ENTRIES_AT_FULL_RATE)
-        interval_ms = (
-            min(IDLE_BROADCAST_MS, BUSY_BROADCAST_MS * interval_factor)
-            if own
-            else IDLE_BROADCAST_MS
-        )
+        interval_ms = broadcast_interval_ms(len(entries)) if own else IDLE_BROADCAST_MS
         if now_ms - self._sent_ms < interval_ms - TICK_MS / 2:
             return
         self._sent_ms = now_ms
