Send agents fewer messages from entries that don't use their engine

Cause: every entry sent every agent 145 bytes a second, and again for each eviction: 68 entries and 59 agents exchange 580 KB/s that way, as much as the entries' own states (739 bytes, 2.5 a second).

Ruled out: longer heartbeats of agents (an entry takes 1.5 s of silence for a dead agent).

Change: without runs there an entry sends so rarely that an agent gets ten a second from all; it acknowledges an eviction only to agents that wait for it; grants are whole numbers.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from skylarkrack.core.relay._adapter_scheduler import (
+    ENTRY_LIVE_MS,
     AdapterScheduler,
     EngineCapacity,
     EngineOrder,
@@ -41,6 +42,7 @@
     ProcessContact,
     broadcast_interval_ms,
     broadcast_recipients,
+    idle_demand_interval_ms,
 )
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 from skylarkrack.core.relay._policy import Policy
@@ -68,6 +70,7 @@
 
 __all__ = [
     "AGENT",
+    "ENTRY_LIVE_MS",
     "IDLE_BROADCAST_MS",
     "REREGISTRATION_GRACE_MS",
     "AdapterPublished",
@@ -121,6 +124,7 @@
     "digest_of_key",
     "broadcast_interval_ms",
     "broadcast_recipients",
+    "idle_demand_interval_ms",
     "is_reader",
     "phase_of",
     "use_of",
--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -44,6 +44,20 @@
     return min(IDLE_BROADCAST_MS, BUSY_BROADCAST_MS * factor)
 
 
+IDLE_DEMANDS_PER_S = 10.0
+"""Messages a second that an agent receives from all entries without runs at its engine."""
+
+MIN_IDLE_DEMAND_MS = 1000.0
+
+
+def idle_demand_interval_ms(entries: int) -> float:
+    """Return the time between an entry's messages to an agent at whose engine it has no runs.
+
+    An agent needs some of them, from any entry: they name the engine's registration.
+    """
+    return max(MIN_IDLE_DEMAND_MS, entries / IDLE_DEMANDS_PER_S * 1000)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessContact:
     """A process of the system: its VM, the address it listens on, its role and failure domain.
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -9,6 +9,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import (
     AGENT,
+    ENTRY_LIVE_MS,
     IDLE_BROADCAST_MS,
     AdapterId,
     Endpoint,
@@ -20,6 +21,7 @@
     ProcessContact,
     broadcast_interval_ms,
     digest_of_endpoint,
+    idle_demand_interval_ms,
 )
 from skylarkrack.messages import (
     AdapterDemand,
@@ -50,12 +52,6 @@
 A newly used adapter is reported with the next tick.
 """
 
-IDLE_DEMAND_MS = 1000.0
-"""Time between demands without runs.
-
-They are still sent because the agent learns from them under which id its engine is registered.
-"""
-
 LEAVING_REPEATS = 3
 LEAVING_INTERVAL_MS = 200.0
 """Number of broadcasts of a leaving endpoint, since datagrams are lost, and the time between them.
@@ -202,7 +198,9 @@
             EngineStateReceived(key=key, state=state),
         )
         has_changed = self._context.dispatcher.observe(EngineStateReceived(key=key, state=state))
-        if message.is_retiring:
+        # An agent waits for entries that sent a demand recently, and for no others.
+        sent_ms = self._demand_sent_ms_by_key.get(key, float("-inf"))
+        if message.is_retiring and now_ms - sent_ms < ENTRY_LIVE_MS:
             self.send_demand_now(key)
         if has_changed and self._context.dispatcher.waiting_count():
             self._context.placement_queue.wake()
@@ -290,7 +288,11 @@
 
         Between two full broadcasts only the grants that differ from the last full one are returned.
         """
-        granted = self._context.quota_limiter.granted()
+        granted = {
+            # Whole numbers take half of the bytes of a float.
+            name: round(amount)
+            for name, amount in self._context.quota_limiter.granted().items()
+        }
         if now_ms - self._full_sent_ms >= FULL_GRANTS_MS:
             self._full_sent_ms, self._last_complete_grants = now_ms, granted
             return granted, True
@@ -305,9 +307,10 @@
             budget.set_max_saved(max_saved)
 
     def _send_due_demands(self, now_ms: float) -> None:
+        idle_ms = idle_demand_interval_ms(self.count_entries())
         for endpoint in self._context.dispatcher.directory.all():
             in_use = self._context.dispatcher.load.own_runs_by_adapter(endpoint.key).keys()
-            interval_ms = BUSY_DEMAND_MS if in_use else IDLE_DEMAND_MS
+            interval_ms = BUSY_DEMAND_MS if in_use else idle_ms
             has_changed = not in_use <= self._sent_in_use_by_key.get(endpoint.key, frozenset())
             if has_changed or self._context.dispatcher.wanted_at(endpoint.key):
                 interval_ms = TICK_MS
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -18,7 +18,9 @@
     OrderResult,
     ProcessContact,
     broadcast_recipients,
+    idle_demand_interval_ms,
 )
+from skylarkrack.core.relay._membership import IDLE_DEMANDS_PER_S
 from skylarkrack.messages import EngineHeartbeat, EngineSnapshot, RelayState, Roster
 from skylarkrack.platform._headers import PlatformCodec
 from skylarkrack.relay import EngineAgent, LogSink, RelayEntry, RelaySettings
@@ -422,6 +424,18 @@
         self.assertEqual(self.membership.addresses_to_probe(200_000.0), [])
 
 
+class TestIdleDemands(unittest.TestCase):
+    """The messages that an agent receives from entries without runs at its engine.
+
+    Guards against a load on agents that grows with the number of entries.
+    """
+
+    def test_they_don_t_grow_with_the_fleet(self) -> None:
+        for entries in (1, 10, 68, 3400):
+            messages_per_s = entries / idle_demand_interval_ms(entries) * 1000
+            self.assertLessEqual(messages_per_s, IDLE_DEMANDS_PER_S)
+
+
 class TestLogSink(unittest.IsolatedAsyncioTestCase):
     """The log never blocks: lines that the reader does not accept are dropped and counted."""
 
