Pass announced versions on between entries

Cause: each announced version of an adapter made every follower read the store, since a step held no publications. Change: a step holds versions; only a changed configuration is read from the store.

--- a/src/skylarkrack/core/relay/_store_feed.py
+++ b/src/skylarkrack/core/relay/_store_feed.py
@@ -31,8 +31,9 @@
 class FeedStep:
     """What changed in one era of the store after *base*, up to *revision*.
 
-    Without *is_complete* there were changes that the step does not hold. *restored_ago_ms* is the
-    time since the reader's store came back after an outage, or None.
+    Without *is_complete* there were changes that the step does not hold. *versions* are announced
+    versions as (model, adapter, version). *restored_ago_ms* is the time since the reader's store
+    came back after an outage, or None.
     """
 
     kind: FeedKind
@@ -42,6 +43,7 @@
     is_complete: bool
     endpoints: tuple[Endpoint, ...] = ()
     removed: tuple[str, ...] = ()
+    versions: tuple[tuple[str, str, int], ...] = ()
     restored_ago_ms: float | None = None
 
 
@@ -117,6 +119,7 @@
             is_complete=all(earlier.is_complete for earlier in self._steps),
             endpoints=tuple(endpoint_by_id.values()),
             removed=tuple(removed),
+            versions=tuple(row for earlier in self._steps for row in earlier.versions),
         )
 
     def _has_changed(self, endpoint: Endpoint) -> bool:
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -244,31 +244,42 @@
             self.handle_change(key_value)
 
     def handle_changes(self, changes: KeyValueBatch, *, base: int) -> FeedStep:
-        """Handle what changed after *base*; return the step to pass on, without the documents."""
-        for key_value in changes.items:
-            self.handle_change(key_value)
+        """Handle what changed after *base*; return the step to pass on.
+
+        It holds announced versions. Configurations are too large for a step.
+        """
+        versions = [self.handle_change(key_value) for key_value in changes.items]
         return FeedStep(
             kind=self.kind,
             era=changes.era,
             base=base,
             revision=max(base, changes.revision),
-            is_complete=not changes.items,
+            is_complete=None not in versions,
+            versions=tuple(filter(None, versions)),
         )
 
     def handle_step(self, step: FeedStep) -> None:
-        """Do nothing: a step that can be applied has no changes of documents."""
+        """Handle versions that a peer has read."""
+        for version in step.versions:
+            self._listener.adapter_published(*version)
+
+    def handle_change(self, key_value: KeyValue) -> tuple[str, str, int] | None:
+        """Handle one written or removed key; removed documents stay in force.
 
-    def handle_change(self, key_value: KeyValue) -> None:
-        """Handle one written or removed key; removed documents stay in force."""
+        Returns (model, adapter, version) for an announced version, else None.
+        """
         if key_value.value is None:
-            return
+            return None
         try:
             if key_value.key == TABLE_KEY:
                 self._listener.table_published(key_value.value)
             elif key_value.key.startswith(VERSIONS_PREFIX):
-                self._listener.adapter_published(*decode_version(key_value.value))
+                version = decode_version(key_value.value)
+                self._listener.adapter_published(*version)
+                return version
         except DocumentRejected as error:
             log(Event.TABLE_REJECTED, key=key_value.key, reason=str(error))
+        return None
 
 
 class RegistrationHandler(PublicationHandler):
--- a/src/skylarkrack/relay/_store_feed.py
+++ b/src/skylarkrack/relay/_store_feed.py
@@ -66,6 +66,7 @@
                 is_complete=merged.is_complete,
                 endpoints=[_row(endpoint) for endpoint in merged.endpoints],
                 removed=list(merged.removed),
+                versions=[list(row) for row in merged.versions],
                 restored_ago_ms=-1.0 if restored is None else restored,
             )
         )
@@ -85,6 +86,7 @@
             is_complete=message.is_complete,
             endpoints=tuple(_endpoint(row) for row in message.endpoints),
             removed=tuple(str(endpoint_id) for endpoint_id in message.removed),
+            versions=tuple((str(m), str(a), int(version)) for m, a, version in message.versions),
             restored_ago_ms=None if restored < 0 else restored,
         )
         self._signal_by_kind[kind].set()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -312,6 +312,19 @@
         self.assertEqual([e.endpoint_id for s in steps for e in s.endpoints], ["i-3"])
         self.assertEqual([r for s in steps for r in s.removed], ["i-1"])
 
+    async def test_a_version_is_passed_on_and_a_configuration_is_not(self) -> None:
+        self.watcher.start()
+        await self.listener.wait_until_recorded("table", 3)
+        document = {"model": "m", "adapter": "a1", "version": 2}
+        self.platform.put("op/version/m.a1", as_bytes(document))
+        await self.listener.wait_until_recorded("adapter", "m", "a1", 2)
+        self.platform.put("op/config", as_bytes(config(9)))
+        await self.listener.wait_until_recorded("table", 9)
+        steps = [s for s in self.exchange.published if s.kind is FeedKind.PUBLICATIONS]
+        versions = [version for s in steps if s.is_complete for version in s.versions]
+        self.assertEqual(versions, [("m", "a1", 2)])
+        self.assertFalse(steps[-1].is_complete)
+
 
 class TestFollower(TestWatcher):
     """An entry that relies on its reader; without its steps it behaves as an entry alone does."""
@@ -364,6 +377,12 @@
         self.step(revision, revision + 1, kind=FeedKind.PUBLICATIONS, is_complete=False)
         await self.listener.wait_until_recorded("table", 9)
 
+    async def test_announced_versions_are_passed_on(self) -> None:
+        revision = await self.start()
+        versions = (("m", "a7", 3),)
+        self.step(revision, revision + 1, kind=FeedKind.PUBLICATIONS, versions=versions)
+        await self.listener.wait_until_recorded("adapter", "m", "a7", 3)
+
     async def test_a_silent_reader_is_replaced(self) -> None:
         revision = await self.start()
         self.step(revision, revision)
--- a/tests/test_relay_store_feed.py
+++ b/tests/test_relay_store_feed.py
@@ -120,7 +120,11 @@
         reader = StoreFeed(contact("n1"), list_entries=lambda: [contact("n2")], send=sent.append)
         other = StoreFeed(contact("n2"), list_entries=lambda: [contact("n1")], send=sent.append)
         published = step(
-            3, 7, endpoints=(endpoint("e1", adapters_by_model={"m": {"a": 1}}),), removed=("e2",)
+            3,
+            7,
+            endpoints=(endpoint("e1", adapters_by_model={"m": {"a": 1}}),),
+            removed=("e2",),
+            versions=(("m", "a1", 2),),
         )
         reader.publish(published)
         other.publish(published)
