--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -33,7 +33,7 @@
     TablePublished,
     WaitFor,
 )
-from skylarkrack.core.relay._health import Health, OutcomeCounts
+from skylarkrack.core.relay._health import NO_OUTCOMES, Health, OutcomeCounts
 from skylarkrack.core.relay._load import EndpointLoad, EngineState, LoadTracker
 from skylarkrack.core.relay._membership import (
     AGENT,
@@ -97,6 +97,7 @@
     "LoadTracker",
     "TableOrganisation",
     "Membership",
+    "NO_OUTCOMES",
     "ModelNeed",
     "ModelShape",
     "AdapterId",
--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -61,7 +61,10 @@
 
 
 class EndpointDirectory:
-    """Endpoints by id. Commands take the time in ms of a monotonic clock."""
+    """Endpoints by id. Commands take the time in ms of a monotonic clock.
+
+    *generation* changes whenever an endpoint is added or removed, or starts to leave.
+    """
 
     __slots__ = (
         "_is_registry_lost",
@@ -75,6 +78,7 @@
         "_missing_until_by_id",
         "_removed_keys",
         "_services",
+        "generation",
     )
 
     def __init__(self) -> None:
@@ -87,6 +91,7 @@
         self._removed_keys: OrderedDict[EndpointKey, None] = OrderedDict()
         self._held_by_id: dict[str, tuple[Endpoint, float]] = {}
         self._services: frozenset[str] = frozenset()
+        self.generation = 0
         self._is_registry_lost = False
         self._restored_ms = float("-inf")
         self._rewound_ms = float("-inf")
@@ -238,6 +243,7 @@
         self._regroup()
 
     def _regroup(self) -> None:
+        self.generation += 1
         latest_by_address: dict[str, int] = {}
         for endpoint in self._by_id.values():
             # A registration may name any address: one of an unconfigured service is ignored here,
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -7,10 +7,10 @@
 from skylarkrack.core.relay._adapter_scheduler import WaitingRequests
 from skylarkrack.core.relay._call import Call, ModelNeed
 from skylarkrack.core.relay._directory import Endpoint, EndpointDirectory
-from skylarkrack.core.relay._health import Health, OutcomeCounts
+from skylarkrack.core.relay._health import NO_OUTCOMES, Health
 from skylarkrack.core.relay._load import PREFILL_WINDOW_MS, EndpointLoad, EngineState, LoadTracker
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
-from skylarkrack.core.relay._placement import Candidate, PlacementContext, candidates
+from skylarkrack.core.relay._placement import Candidate, PlacementContext, RankCache, candidates
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
 
@@ -141,6 +141,7 @@
         "_missing_adapters_by_key",
         "_cached_by_address",
         "_policy",
+        "_ranks",
         "_state_by_key",
         "_version_by_adapter",
         "_waiting",
@@ -163,6 +164,7 @@
         self._state_by_key: dict[EndpointKey, EngineState] = {}
         self._version_by_adapter: dict[AdapterId, int] = {}
         self._waiting: list[PendingRequest] = []
+        self._ranks = RankCache()
 
     # Queries
 
@@ -172,15 +174,24 @@
 
     def decide(self, request: PendingRequest, now_ms: float) -> Decision:
         """Return the decision about one request."""
+        return self._decide(request, self._placement_context(now_ms))
+
+    def _decide(self, request: PendingRequest, context: PlacementContext) -> Decision:
         service = self.table.service_by_name.get(request.service_name)
         endpoints = self.directory.of_service(request.service_name)
         if service is None or not endpoints:
             return Refuse(
                 code=Code.NO_ENDPOINT, reason="no endpoint", retry_after_ms=DEFAULT_RETRY_AFTER_MS
             )
-        untried = [endpoint for endpoint in endpoints if endpoint.key not in request.tried]
-        context = self._placement_context(now_ms, for_overdue=request.is_overdue(now_ms))
-        ranked = candidates(untried or endpoints, service, request.need, context)
+        now_ms = context.now_ms
+        ranked = candidates(
+            endpoints,
+            service,
+            request.need,
+            context,
+            is_overdue=request.is_overdue(now_ms),
+            tried=request.tried,
+        )
         return self._choose(request, ranked, now_ms)
 
     def wanted_at(self, key: EndpointKey) -> dict[AdapterId, WaitingRequests]:
@@ -234,7 +245,7 @@
         """Store another entry's load by endpoint, with the outcomes of its requests."""
         self.load.receive_peer_loads(entry, load_by_key, now_ms=now_ms)
         for key, work in load_by_key.items():
-            if work.outcomes != OutcomeCounts():
+            if work.outcomes is not NO_OUTCOMES:
                 self.health.receive_outcomes(entry, key, work.outcomes, now_ms)
 
     @singledispatchmethod
@@ -287,8 +298,11 @@
 
         Returns None if there is none. The endpoints that the others wait for are updated.
         """
+        if not self._waiting:
+            return None
+        context = self._placement_context(now_ms)
         for request in sorted(self._waiting, key=self._queue_key_of):
-            decision = self.decide(request, now_ms)
+            decision = self._decide(request, context)
             if isinstance(decision, WaitFor):
                 request.waiting_at = decision.key
                 continue
@@ -336,7 +350,7 @@
                 reserved[request.waiting_at] = max(known, request.need.prompt_tokens)
         return reserved
 
-    def _placement_context(self, now_ms: float, *, for_overdue: bool) -> PlacementContext:
+    def _placement_context(self, now_ms: float) -> PlacementContext:
         wanted: dict[EndpointKey, set[AdapterId]] = {}
         for request in self._waiting:
             if request.need is not None and request.waiting_at is not None:
@@ -350,8 +364,9 @@
             missing_adapters_by_key=self._missing_adapters_by_key,
             cached_by_address=self._cached_by_address,
             wanted_by_key=wanted,
-            reserved_tokens_by_key={} if for_overdue else self._reserved_tokens_by_key(now_ms),
-            is_overdue=for_overdue,
+            reserved_tokens_by_key=self._reserved_tokens_by_key(now_ms),
+            generation=self.directory.generation,
+            ranks=self._ranks,
             routing=self._policy.routing,
             missing_ids=self.directory.missing_ids(),
             domain=self.domain,
--- a/src/skylarkrack/core/relay/_health.py
+++ b/src/skylarkrack/core/relay/_health.py
@@ -46,6 +46,9 @@
     failed: int = 0
 
 
+NO_OUTCOMES = OutcomeCounts()
+
+
 @dataclass(slots=True)
 class _FailureRatio:
     """A failure ratio that decays while no outcome arrives."""
@@ -147,6 +150,8 @@
         """Count what another entry's totals have grown by; its first report only sets the base."""
         record = self._record(key)
         known = record.outcomes_by_entry.get(entry)
+        if known == outcomes:
+            return
         record.outcomes_by_entry[entry] = outcomes
         if known is None:
             return
--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -3,7 +3,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from skylarkrack.core.relay._health import OutcomeCounts
+from skylarkrack.core.relay._health import NO_OUTCOMES, OutcomeCounts
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 
 PREFILL_WINDOW_MS = 300.0
@@ -42,44 +42,113 @@
     tokens: int = 0
     prefill_tokens: int = 0
     reserved_tokens: int = 0
-    outcomes: OutcomeCounts = OutcomeCounts()
+    outcomes: OutcomeCounts = NO_OUTCOMES
 
 
-@dataclass(frozen=True, slots=True)
-class _ReceivedLoads:
-    received_ms: float
-    load_by_key: dict[EndpointKey, EndpointLoad]
+@dataclass(slots=True)
+class _Sum:
+    """What other entries have at one endpoint; the last two fields cover one prefill window."""
+
+    runs: int = 0
+    tokens: int = 0
+    prefill_tokens: int = 0
+    reserved_tokens: int = 0
+
+
+class _PeerLoads:
+    """The loads that other entries report, summed by endpoint.
+
+    Sums are kept up to date with each report, since a decision needs them for every endpoint and
+    would otherwise look at every entry's report for each.
+    """
+
+    __slots__ = ("_recent_by_entry", "_report_by_entry", "_sum_by_key")
+
+    def __init__(self) -> None:
+        # In order of their times: (received in ms, load by endpoint).
+        self._report_by_entry: dict[str, tuple[float, dict[EndpointKey, EndpointLoad]]] = {}
+        self._recent_by_entry: dict[str, tuple[float, dict[EndpointKey, EndpointLoad]]] = {}
+        self._sum_by_key: dict[EndpointKey, _Sum] = {}
+
+    def get(self, key: EndpointKey, now_ms: float) -> _Sum | None:
+        """Return the sum for an endpoint, or None if no entry has a load there."""
+        self._expire(now_ms)
+        return self._sum_by_key.get(key)
+
+    def replace(
+        self, entry: str, load_by_key: dict[EndpointKey, EndpointLoad], now_ms: float
+    ) -> None:
+        """Replace an entry's report."""
+        self._drop_recent(entry)
+        self._drop(entry)
+        self._report_by_entry[entry] = self._recent_by_entry[entry] = (now_ms, load_by_key)
+        for key, load in load_by_key.items():
+            total = self._sum_by_key.get(key)
+            if total is None:
+                total = self._sum_by_key[key] = _Sum()
+            total.runs += load.runs
+            total.tokens += load.tokens
+            total.prefill_tokens += load.prefill_tokens
+            total.reserved_tokens += load.reserved_tokens
+
+    def _expire(self, now_ms: float) -> None:
+        while self._recent_by_entry:
+            entry, (received_ms, _) = next(iter(self._recent_by_entry.items()))
+            if now_ms - received_ms < PREFILL_WINDOW_MS:
+                break
+            self._drop_recent(entry)
+        while self._report_by_entry:
+            entry, (received_ms, _) = next(iter(self._report_by_entry.items()))
+            if now_ms - received_ms < LOAD_TTL_MS:
+                break
+            self._drop(entry)
+
+    def _drop_recent(self, entry: str) -> None:
+        _, load_by_key = self._recent_by_entry.pop(entry, (0.0, {}))
+        for key, load in load_by_key.items():
+            total = self._sum_by_key[key]
+            total.prefill_tokens -= load.prefill_tokens
+            total.reserved_tokens -= load.reserved_tokens
+
+    def _drop(self, entry: str) -> None:
+        _, load_by_key = self._report_by_entry.pop(entry, (0.0, {}))
+        for key, load in load_by_key.items():
+            total = self._sum_by_key[key]
+            total.runs -= load.runs
+            total.tokens -= load.tokens
+            if not (total.runs or total.tokens or total.prefill_tokens or total.reserved_tokens):
+                del self._sum_by_key[key]
+
+
+_NO_SUM = _Sum()
+_NO_LOAD = EndpointLoad()
 
 
 class LoadTracker:
     """Runs and tokens in progress by endpoint incarnation, over all entries. Times are ms."""
 
-    __slots__ = ("_runs_by_adapter", "_prompts_by_key", "_runs", "_tokens", "_loads_by_entry")
+    __slots__ = ("_peers", "_prompts_by_key", "_runs", "_runs_by_adapter", "_tokens")
 
     def __init__(self) -> None:
         self._runs: Counter[EndpointKey] = Counter()
         self._tokens: Counter[EndpointKey] = Counter()
         self._prompts_by_key: dict[EndpointKey, deque[tuple[float, int]]] = {}
         self._runs_by_adapter: dict[EndpointKey, Counter[AdapterId]] = {}
-        self._loads_by_entry: dict[str, _ReceivedLoads] = {}
+        self._peers = _PeerLoads()
 
     # Queries
 
     def total(self, key: EndpointKey, now_ms: float) -> EndpointLoad:
         """Return all entries' load at an endpoint; *reserved_tokens* is that of the others."""
-        runs, tokens, reserved = self._runs[key], self._tokens[key], 0
-        prompts = self._own_prompts(key, now_ms)
-        for received in self._loads_by_entry.values():
-            load, age_ms = received.load_by_key.get(key), now_ms - received.received_ms
-            if load is None or age_ms >= LOAD_TTL_MS:
-                continue
-            runs += load.runs
-            tokens += load.tokens
-            if age_ms < PREFILL_WINDOW_MS:
-                prompts += load.prefill_tokens
-                reserved += load.reserved_tokens
+        peers = self._peers.get(key, now_ms)
+        if peers is None and key not in self._runs and key not in self._prompts_by_key:
+            return _NO_LOAD
+        peers = peers or _NO_SUM
         return EndpointLoad(
-            runs=runs, tokens=tokens, prefill_tokens=prompts, reserved_tokens=reserved
+            runs=self._runs.get(key, 0) + peers.runs,
+            tokens=self._tokens.get(key, 0) + peers.tokens,
+            prefill_tokens=self._own_prompts(key, now_ms) + peers.prefill_tokens,
+            reserved_tokens=peers.reserved_tokens,
         )
 
     def own(self, now_ms: float) -> dict[EndpointKey, EndpointLoad]:
@@ -125,7 +194,7 @@
         self, entry: str, load_by_key: dict[EndpointKey, EndpointLoad], *, now_ms: float
     ) -> None:
         """Replace what is known of another entry's load."""
-        self._loads_by_entry[entry] = _ReceivedLoads(now_ms, load_by_key)
+        self._peers.replace(entry, load_by_key, now_ms)
 
     def _own_prompts(self, key: EndpointKey, now_ms: float) -> int:
         sent = self._prompts_by_key.get(key)
@@ -133,6 +202,8 @@
             return 0
         while sent and sent[0][0] <= now_ms - PREFILL_WINDOW_MS:
             sent.popleft()
+        if not sent:
+            del self._prompts_by_key[key]
         return sum(tokens for _, tokens in sent)
 
     @staticmethod
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -6,7 +6,8 @@
 the first costs more than a load.
 """
 
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, field
 from functools import singledispatch
 
 from skylarkrack.core._hashing import rendezvous_order
@@ -78,6 +79,9 @@
 STATE_TTL_MS = 1500.0
 """Time for which an agent's report is used. A silent agent can't be asked for loads."""
 
+MAX_CACHED_RANKS = 60_000
+"""Positions kept of endpoints in the orders of adapters, over all adapters; about 5 MB."""
+
 QUEUE_FRACTION = 0.25
 """Fraction of an engine's slots that may be queued at the engine beyond a full batch. In that
 queue, more urgent runs overtake."""
@@ -86,7 +90,8 @@
 """Fraction of an engine's KV cache that the runs sent to it may claim."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+# Not frozen: a decision creates one for every endpoint, and frozen ones take four times as long.
+@dataclass(slots=True)
 class Candidate:
     """An endpoint with its expected delay in ms; *is_ready* means that it can be sent to now.
 
@@ -128,11 +133,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementContext:
-    """All that a placement depends on; *now_ms* is on a monotonic clock.
+    """All that placements at one moment depend on; *now_ms* is on a monotonic clock.
 
     *reserved_tokens_by_key* are prompt tokens of this entry's overdue requests: those that arrived
-    at least one prefill window ago. It is empty if the request to be placed is itself overdue
-    (*is_overdue*).
+    at least one prefill window ago. *generation* identifies the endpoints that may get work.
     """
 
     health: Health
@@ -144,25 +148,88 @@
     wanted_by_key: dict[EndpointKey, set[AdapterId]]
     missing_ids: frozenset[str]
     reserved_tokens_by_key: dict[EndpointKey, int]
-    is_overdue: bool
+    generation: int
     routing: LeastCost | LeastLoaded | HashOnly
     domain: str
     now_ms: float
+    ranks: "RankCache"
+    condition_by_key: dict[EndpointKey, "_EngineCondition"] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _EngineCondition:
+    """What a placement at an engine depends on, whichever request it is for.
+
+    *cost_ms* is the delay without the adapter and the prompt. *state* is the agent's report, or
+    None if it is too old.
+    """
+
+    cost_ms: float
+    is_ready: bool
+    runs: int
+    tokens: int
+    prefill_tokens: int
+    reserved_tokens: int
+    state: EngineState | None
+
+
+class RankCache:
+    """Positions of endpoints in the rendezvous orders of the adapters that were asked for last."""
+
+    __slots__ = ("_generation", "_rank_by_id_by_name")
+
+    def __init__(self) -> None:
+        self._generation: tuple = ()
+        self._rank_by_id_by_name: dict[str, dict[str, int]] = {}
+
+    def ranks(self, name: str, endpoints: list[Endpoint], generation: tuple) -> dict[str, int]:
+        """Return the position of each endpoint for *name*, by endpoint id.
+
+        *generation* identifies the set of endpoints; orders of another one are dropped.
+        """
+        if generation != self._generation:
+            self._generation = generation
+            self._rank_by_id_by_name.clear()
+        known = self._rank_by_id_by_name.get(name)
+        if known is None:
+            order = rendezvous_order(name, [endpoint.endpoint_id for endpoint in endpoints])
+            known = {endpoint_id: rank for rank, endpoint_id in enumerate(order)}
+            if len(self._rank_by_id_by_name) * len(endpoints) >= MAX_CACHED_RANKS:
+                del self._rank_by_id_by_name[next(iter(self._rank_by_id_by_name))]
+            self._rank_by_id_by_name[name] = known
+        return known
 
 
 def candidates(
-    endpoints: list[Endpoint], service: Service, need: ModelNeed | None, context: PlacementContext
+    endpoints: list[Endpoint],
+    service: Service,
+    need: ModelNeed | None,
+    context: PlacementContext,
+    *,
+    is_overdue: bool = False,
+    tried: Collection[EndpointKey] = (),
 ) -> list[Candidate]:
-    """Return the endpoints that the request may go to, the best first."""
+    """Return the endpoints that the request may go to, the best first.
+
+    With *is_overdue* no prefill capacity is held back for other requests. Endpoints in *tried* are
+    left out unless no other is left.
+    """
+    untried = [endpoint for endpoint in endpoints if endpoint.key not in tried] or endpoints
     if service.engine is None or need is None:
-        options = [_plain_candidate(endpoint, context) for endpoint in endpoints]
+        options = [_plain_candidate(endpoint, context) for endpoint in untried]
     else:
-        hash_key = f"{need.model}/{need.adapter}"
-        order = rendezvous_order(hash_key, [endpoint.endpoint_id for endpoint in endpoints])
-        rank_by_id = {endpoint_id: rank for rank, endpoint_id in enumerate(order)}
+        generation = (service.name, context.generation)
+        rank_by_id = context.ranks.ranks(f"{need.model}/{need.adapter}", endpoints, generation)
         options = [
-            _engine_candidate(endpoint, service, need, rank_by_id[endpoint.endpoint_id], context)
-            for endpoint in endpoints
+            _engine_candidate(
+                endpoint,
+                service.engine,
+                need,
+                rank_by_id[endpoint.endpoint_id],
+                context,
+                is_overdue,
+            )
+            for endpoint in untried
         ]
     return preferred(context.routing, options)
 
@@ -191,63 +258,93 @@
     pause_ms = context.health.pause_left_ms(endpoint.key, context.now_ms)
     cost_ms += pause_ms
     is_ready = not is_backing_off and not pause_ms and runs < 2 * max(1, endpoint.slots)
-    return Candidate(endpoint=endpoint, cost_ms=cost_ms, is_ready=is_ready, runs=runs)
+    return Candidate(endpoint, cost_ms, is_ready, runs)
+
+
+def _condition_of(
+    endpoint: Endpoint, shape: EngineShape, context: PlacementContext
+) -> _EngineCondition:
+    key, now_ms = endpoint.key, context.now_ms
+    condition = context.condition_by_key.get(key)
+    if condition is not None:
+        return condition
+    total = context.load.total(key, now_ms)
+    runs, slots = total.runs, endpoint.slots or shape.slots
+    cost_ms = _common_cost_ms(endpoint, context) + FULL_BATCH_COST_MS * runs / slots
+    if runs >= slots:
+        cost_ms += QUEUED_RUN_COST_MS * (runs - slots + 1)
+    is_ready = runs < slots * (1 + QUEUE_FRACTION)
+    if context.health.is_backing_off(key, now_ms):
+        cost_ms += BACKOFF_COST_MS
+        is_ready = False
+    pause_ms = context.health.pause_left_ms(key, now_ms)
+    if pause_ms:
+        cost_ms += pause_ms
+        is_ready = False
+    state = context.state_by_key.get(key)
+    if state is not None and now_ms - state.received_ms > STATE_TTL_MS:
+        state = None
+    condition = _EngineCondition(
+        cost_ms=cost_ms,
+        is_ready=is_ready,
+        runs=runs,
+        tokens=total.tokens,
+        prefill_tokens=total.prefill_tokens,
+        reserved_tokens=total.reserved_tokens + context.reserved_tokens_by_key.get(key, 0),
+        state=state,
+    )
+    context.condition_by_key[key] = condition
+    return condition
 
 
 def _engine_candidate(
-    endpoint: Endpoint, service: Service, need: ModelNeed, rank: int, context: PlacementContext
+    endpoint: Endpoint,
+    shape: EngineShape,
+    need: ModelNeed,
+    rank: int,
+    context: PlacementContext,
+    is_overdue: bool,
 ) -> Candidate:
-    shape, key = service.engine, endpoint.key
-    total = context.load.total(key, context.now_ms)
-    runs = total.runs
-    slots = endpoint.slots or shape.slots
-    cost_ms = (
-        _common_cost_ms(endpoint, context) + RANK_COST_MS * rank + FULL_BATCH_COST_MS * runs / slots
-    )
-    if runs >= slots:
-        cost_ms += QUEUED_RUN_COST_MS * (runs - slots + 1)
-    is_ready = runs < slots * (1 + QUEUE_FRACTION)
-    if total.tokens + need.tokens > MEMORY_FRACTION * shape.cache_tokens:
+    condition = _condition_of(endpoint, shape, context)
+    cost_ms, is_ready = condition.cost_ms + RANK_COST_MS * rank, condition.is_ready
+    if condition.tokens + need.tokens > MEMORY_FRACTION * shape.cache_tokens:
         cost_ms += FULL_BATCH_COST_MS
         # A request above the KV cache allowance is sent only to an engine without runs.
-        is_ready = is_ready and runs == 0
-    prefill_tokens = total.prefill_tokens
-    if not context.is_overdue:
+        is_ready = is_ready and condition.runs == 0
+    prefill_tokens = condition.prefill_tokens
+    if not is_overdue:
         # Reserved tokens hold short prompts back; otherwise a long prompt would never fit.
-        prefill_tokens += total.reserved_tokens + context.reserved_tokens_by_key.get(key, 0)
+        prefill_tokens += condition.reserved_tokens
     if prefill_tokens and prefill_tokens + need.prompt_tokens > PREFILL_LIMIT_TOKENS:
         cost_ms += (
             prefill_tokens + need.prompt_tokens - PREFILL_LIMIT_TOKENS
         ) / PREFILL_TOKENS_PER_MS
         is_ready = False
-    if context.health.is_backing_off(key, context.now_ms):
-        cost_ms += BACKOFF_COST_MS
-        is_ready = False
-    pause_ms = context.health.pause_left_ms(key, context.now_ms)
-    if pause_ms:
-        cost_ms += pause_ms
-        is_ready = False
-    version, load_ms = _adapter_state(endpoint, shape, need, context)
-    if version is None:
-        is_ready = False
+    version, load_ms = _adapter_state(endpoint, condition.state, shape, need, context)
     return Candidate(
-        endpoint=endpoint,
-        cost_ms=cost_ms + load_ms,
-        is_ready=is_ready,
-        runs=runs,
-        rank=rank,
-        version=version,
+        endpoint,
+        cost_ms + load_ms,
+        is_ready and version is not None,
+        condition.runs,
+        rank,
+        version,
     )
 
 
 def _adapter_state(
-    endpoint: Endpoint, shape: EngineShape, need: ModelNeed, context: PlacementContext
+    endpoint: Endpoint,
+    state: EngineState | None,
+    shape: EngineShape,
+    need: ModelNeed,
+    context: PlacementContext,
 ) -> tuple[int | None, float]:
-    """Return the version that can be used now, or None, and the wait for one in ms."""
+    """Return the version that can be used now, or None, and the wait for one in ms.
+
+    *state* is the agent's report, or None if it is too old.
+    """
     adapter_id = need.adapter_id
     newest = context.version_by_adapter.get(adapter_id, 0) if need.adapter else 0
-    state = context.state_by_key.get(endpoint.key)
-    if state is None or context.now_ms - state.received_ms > STATE_TTL_MS:
+    if state is None:
         is_denied = adapter_id in context.missing_adapters_by_key.get(endpoint.key, ())
         held = None if is_denied else _registered(endpoint, need)
         return (held, 0.0) if held is not None and held >= newest else (None, NO_AGENT_COST_MS)
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -11,6 +11,7 @@
     AGENT,
     ENTRY_LIVE_MS,
     IDLE_BROADCAST_MS,
+    NO_OUTCOMES,
     AdapterId,
     Endpoint,
     EndpointKey,
@@ -378,5 +379,7 @@
         tokens=tokens,
         prefill_tokens=prompts,
         reserved_tokens=reserved,
-        outcomes=OutcomeCounts(answered=answered, failed=failed),
+        outcomes=(
+            OutcomeCounts(answered=answered, failed=failed) if answered or failed else NO_OUTCOMES
+        ),
     )
