--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -47,8 +47,12 @@
 
 @dataclass(slots=True)
 class _Sum:
-    """What other entries have at one endpoint; the last two fields cover one prefill window."""
+    """What other entries have at one endpoint, and how many *reports* name it.
 
+    Prefill and reserved tokens cover one prefill window.
+    """
+
+    reports: int = 0
     runs: int = 0
     tokens: int = 0
     prefill_tokens: int = 0
@@ -86,6 +90,7 @@
             total = self._sum_by_key.get(key)
             if total is None:
                 total = self._sum_by_key[key] = _Sum()
+            total.reports += 1
             total.runs += load.runs
             total.tokens += load.tokens
             total.prefill_tokens += load.prefill_tokens
@@ -114,9 +119,10 @@
         _, load_by_key = self._report_by_entry.pop(entry, (0.0, {}))
         for key, load in load_by_key.items():
             total = self._sum_by_key[key]
+            total.reports -= 1
             total.runs -= load.runs
             total.tokens -= load.tokens
-            if not (total.runs or total.tokens or total.prefill_tokens or total.reserved_tokens):
+            if not total.reports:
                 del self._sum_by_key[key]
 
 
