Bound the engines that one adapter's requests may go to

Cause: the time of a decision and of a pass over the queue grew with the engines: a pass over 20 waiting requests took 8.9 ms at 59 engines and 208 ms at 300, once in 25 ms.

Ruled out: leaving out the holders of an adapter beyond its homes (an engine that came or went moves homes, and the adapter is still held); bounding requests without an adapter, which any engine can run.

Change: the first 24 of the rendezvous order and the holders are weighed, all engines only if each of these failed the request; bench.placement measures it.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/python -m bench.data_path
 	$(BIN)/python -m bench.control
 	$(BIN)/python -m bench.relay
+	$(BIN)/python -m bench.placement
 
 # SEED=7 plays one seed, MINUTES=5 those after it as well for so long.
 soak: $(READY)
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -79,8 +79,12 @@
 STATE_TTL_MS = 1500.0
 """Time for which an agent's report is used. A silent agent can't be asked for loads."""
 
-MAX_CACHED_RANKS = 60_000
-"""Positions kept of endpoints in the orders of adapters, over all adapters; about 5 MB."""
+MAX_HOMES = 24
+"""Engines at the front of an adapter's rendezvous order that its requests may go to, beside those
+that hold it. It bounds the time of a decision in a large fleet."""
+
+MAX_CACHED_ORDERS = 2000
+"""Adapters whose homes are kept; about 5 MB."""
 
 QUEUE_FRACTION = 0.25
 """Fraction of an engine's slots that may be queued at the engine beyond a full batch. In that
@@ -174,7 +178,7 @@
 
 
 class RankCache:
-    """Positions of endpoints in the rendezvous orders of the adapters that were asked for last."""
+    """Homes of the adapters that were asked for last."""
 
     __slots__ = ("_generation", "_rank_by_id_by_name")
 
@@ -183,7 +187,7 @@
         self._rank_by_id_by_name: dict[str, dict[str, int]] = {}
 
     def ranks(self, name: str, endpoints: list[Endpoint], generation: tuple) -> dict[str, int]:
-        """Return the position of each endpoint for *name*, by endpoint id.
+        """Return the positions of the first `MAX_HOMES` endpoints for *name*, by endpoint id.
 
         *generation* identifies the set of endpoints; orders of another one are dropped.
         """
@@ -193,8 +197,8 @@
         known = self._rank_by_id_by_name.get(name)
         if known is None:
             order = rendezvous_order(name, [endpoint.endpoint_id for endpoint in endpoints])
-            known = {endpoint_id: rank for rank, endpoint_id in enumerate(order)}
-            if len(self._rank_by_id_by_name) * len(endpoints) >= MAX_CACHED_RANKS:
+            known = {endpoint_id: rank for rank, endpoint_id in enumerate(order[:MAX_HOMES])}
+            if len(self._rank_by_id_by_name) >= MAX_CACHED_ORDERS:
                 del self._rank_by_id_by_name[next(iter(self._rank_by_id_by_name))]
             self._rank_by_id_by_name[name] = known
         return known
@@ -220,20 +224,27 @@
     else:
         generation = (service.name, context.generation)
         rank_by_id = context.ranks.ranks(f"{need.model}/{need.adapter}", endpoints, generation)
+        homes = [e for e in untried if e.endpoint_id in rank_by_id or _may_hold(e, need, context)]
         options = [
             _engine_candidate(
                 endpoint,
                 service.engine,
                 need,
-                rank_by_id[endpoint.endpoint_id],
+                rank_by_id.get(endpoint.endpoint_id, MAX_HOMES),
                 context,
                 is_overdue,
             )
-            for endpoint in untried
+            for endpoint in homes or untried
         ]
     return preferred(context.routing, options)
 
 
+def _may_hold(endpoint: Endpoint, need: ModelNeed, context: PlacementContext) -> bool:
+    """Return whether an engine holds the adapter, or the base model if none is needed."""
+    state = context.state_by_key.get(endpoint.key)
+    return state is None or need.adapter_id in state.resident
+
+
 def _common_cost_ms(endpoint: Endpoint, context: PlacementContext) -> float:
     key = endpoint.key
     cost_ms = FAILURE_COST_MS * context.health.failure_ratio(key, context.now_ms)
--- a/tests/test_relay_load.py
+++ b/tests/test_relay_load.py
@@ -7,10 +7,10 @@
 import random
 import unittest
 
-from skylarkrack.core.relay import EndpointLoad, LoadTracker
+from skylarkrack.core.relay import EndpointLoad, EngineStateReceived, LoadTracker, WaitFor
 from skylarkrack.core.relay._load import LOAD_TTL_MS, PREFILL_WINDOW_MS
-from skylarkrack.core.relay._placement import MAX_CACHED_RANKS, RankCache
-from tests.relay_builders import endpoint
+from skylarkrack.core.relay._placement import MAX_CACHED_ORDERS, MAX_HOMES, RankCache
+from tests.relay_builders import dispatcher, endpoint, pending_request, state
 
 KEYS = [(f"10.0.0.{n}:80", 1) for n in range(4)]
 
@@ -69,7 +69,51 @@
 
     def test_its_size_is_bounded(self) -> None:
         cache, endpoints = RankCache(), [endpoint(f"e{n}") for n in range(200)]
-        for number in range(1000):
-            cache.ranks(f"m/a{number}", endpoints, ("engines", 1))
-        kept = len(cache._rank_by_id_by_name)
-        self.assertLessEqual(kept * len(endpoints), MAX_CACHED_RANKS)
+        for number in range(MAX_CACHED_ORDERS + 10):
+            homes = cache.ranks(f"m/a{number}", endpoints, ("engines", 1))
+            self.assertEqual(len(homes), MAX_HOMES)
+        self.assertLessEqual(len(cache._rank_by_id_by_name), MAX_CACHED_ORDERS)
+
+
+class TestHomes(unittest.TestCase):
+    """A fleet of more engines than one adapter's requests go to."""
+
+    def setUp(self) -> None:
+        self.engines = [endpoint(f"e{n}") for n in range(60)]
+        self.entry = dispatcher(*self.engines, states=tuple(state(0.0) for _ in self.engines))
+
+    def targets(self, adapter: str | None) -> set[str]:
+        """Return where requests go, each to an engine that got none before."""
+        request = pending_request("r1", adapter)
+        found = set()
+        for _ in self.engines:
+            decision = self.entry.decide(request, 0.0)
+            key = decision.key if isinstance(decision, WaitFor) else decision.endpoint.key
+            found.add(key[0])
+            request.tried.add(key)
+        return found
+
+    def test_an_adapter_goes_to_its_homes_first(self) -> None:
+        request = pending_request("r1", "a1")
+        homes = set()
+        for _ in range(MAX_HOMES):
+            decision = self.entry.decide(request, 0.0)
+            homes.add(decision.key)
+            request.tried.add(decision.key)
+        self.assertEqual(len(homes), MAX_HOMES)
+
+    def test_all_engines_are_left_when_the_homes_failed(self) -> None:
+        self.assertEqual(len(self.targets("a1")), len(self.engines))
+
+    def test_an_engine_outside_the_homes_that_holds_the_adapter_is_used(self) -> None:
+        request = pending_request("r1", "a1")
+        for _ in range(MAX_HOMES):
+            request.tried.add(self.entry.decide(request, 0.0).key)
+        outside = next(e for e in self.engines if e.key not in request.tried)
+        held = EngineStateReceived(key=outside.key, state=state(0.0, "a1"))
+        self.entry.observe(held)
+        decision = self.entry.decide(pending_request("r2", "a1"), 0.0)
+        self.assertEqual(decision.endpoint.key, outside.key)
+
+    def test_requests_without_an_adapter_use_the_whole_fleet(self) -> None:
+        self.assertEqual(len(self.targets(None)), len(self.engines))
