Tolerate a part of what others grant unseen before a quota's margin applies

Ruled out: the paid-back debt, which is the promise to the plans and stays.

Change: a twentieth of a window's tokens may be unseen without a margin, a fifth of the overshoot that the users allow.

--- a/src/skylarkrack/core/relay/_quota_limiter.py
+++ b/src/skylarkrack/core/relay/_quota_limiter.py
@@ -7,7 +7,8 @@
 All entries see an empty bucket refill at the same time. If each of them granted a request then, the
 overshoot would grow with the number of entries. A bucket therefore has a margin: what was recently
 granted out of an empty bucket, or what all entries together grant within one exchange, whichever is
-more. A level within the margin grants only a part of the requests, in proportion.
+more, less a tolerated part. A level within the margin grants only a part of the requests, in
+proportion.
 
 A silent entry may be partitioned and still grant: an equal share of the
 rate is charged to the bucket for it, and settled when it reports again. So each side of a partition
@@ -37,6 +38,12 @@
 organisation for longer. It is the window over which the quota is enforced: with less, overshoot
 would be forgiven again and again within one window."""
 
+TOLERATED_FRACTION = 0.05
+"""Fraction of the tokens of one window that others may grant unseen without a margin.
+
+Few entries stay below it. It is a fifth of the overshoot that the users allow.
+"""
+
 MARGIN_HALF_LIFE_MS = 4000.0
 """Half-life of the margin after the last debt."""
 
@@ -88,7 +95,9 @@
         self.deduct(granted)
         self.level = min(self.quota.burst, self.level)
         unseen = max(self.granted_empty, self.granted_per_ms * exchange_ms)
-        self.margin = min(self.quota.burst, max(self.margin, unseen))
+        window = self.quota.rate_per_s * MAX_DEBT_S + self.quota.burst
+        excess = unseen - TOLERATED_FRACTION * window
+        self.margin = min(self.quota.burst, max(self.margin, excess))
 
 
 @dataclass(slots=True)
