Send large fleets fewer messages of agents

Ruled out: slower states of entries, on whose age quotas and placement depend.

Change: a heartbeat each 0.7 s in fleets of 53 entries and more (two may be lost, as before); a change of the loads in progress alone waits 200 ms for the load's result.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -42,6 +42,7 @@
     ProcessContact,
     broadcast_interval_ms,
     broadcast_recipients,
+    heartbeat_interval_ms,
     idle_demand_interval_ms,
 )
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
@@ -125,6 +126,7 @@
     "digest_of_key",
     "broadcast_interval_ms",
     "broadcast_recipients",
+    "heartbeat_interval_ms",
     "idle_demand_interval_ms",
     "is_reader",
     "use_of",
--- a/src/skylarkrack/core/relay/_membership.py
+++ b/src/skylarkrack/core/relay/_membership.py
@@ -44,6 +44,23 @@
     return min(IDLE_BROADCAST_MS, BUSY_BROADCAST_MS * factor)
 
 
+HEARTBEAT_MS = 400.0
+MAX_HEARTBEAT_MS = 700.0
+"""Longest time between two messages of an agent to the entries, in small fleets and in large ones.
+
+An entry takes an agent for silent after 1.5 s, that is, after two lost messages or more.
+"""
+
+ENTRIES_AT_FULL_HEARTBEAT = 30
+"""Number of entries above which an agent sends heartbeats less often."""
+
+
+def heartbeat_interval_ms(entries: int) -> float:
+    """Return the time between an agent's messages to *entries* entries without a change."""
+    factor = max(1.0, entries / ENTRIES_AT_FULL_HEARTBEAT)
+    return min(MAX_HEARTBEAT_MS, HEARTBEAT_MS * factor)
+
+
 IDLE_DEMANDS_PER_S = 10.0
 """Messages a second that an agent receives from all entries without runs at its engine."""
 
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -19,6 +19,7 @@
     EngineReport,
     ProcessContact,
     WaitingRequests,
+    heartbeat_interval_ms,
 )
 from skylarkrack.messages import AdapterDemand, EngineHeartbeat, EngineSnapshot
 from skylarkrack.relay._peers import ENTRY, Peers
@@ -32,10 +33,11 @@
 BUSY_POLL_MS = 12.0
 """Time between reports while an order is carried out; an adapter in memory loads in 25 ms."""
 
-HEARTBEAT_MS = 400.0
-"""Longest time between two messages to the entries; changes are sent at once.
+LOADING_DELAY_MS = 200.0
+"""Shortest time from the last message to one that reports only which loads are in progress.
 
-An entry regards an agent as silent after three or more lost messages in a row.
+Entries need the adapters that are resident at once. Most loads are complete within this time, and
+are then reported with their result.
 """
 
 FULL_SNAPSHOT_MS = 1200.0
@@ -226,7 +228,7 @@
         spare_places = self._scheduler.spare_slots(now_ms)
         usable = self._scheduler.usable_adapters()
         content = (report.started_ms, usable, report.loading)
-        if content == self._advertised and now_ms - self._sent_ms < HEARTBEAT_MS:
+        if now_ms - self._sent_ms < self._shortest_pause_ms(content):
             return
         self._sent_ms = now_ms
         self._sequence += 1
@@ -254,6 +256,14 @@
         self._scheduler.record_broadcast(self._sequence)
         self._peers.broadcast_to_entries(message)
 
+    def _shortest_pause_ms(self, content: tuple) -> float:
+        """Return the time to leave after the last message before *content* is sent."""
+        if self._advertised is None or content[:2] != self._advertised[:2]:
+            return 0.0
+        if content != self._advertised:
+            return LOADING_DELAY_MS
+        return heartbeat_interval_ms(len(self._peers.alive(ENTRY)))
+
     def _send_heartbeat(self, spare_places: int) -> None:
         message = EngineHeartbeat(
             vm=self._settings.vm,
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -18,9 +18,11 @@
     OrderResult,
     ProcessContact,
     broadcast_recipients,
+    heartbeat_interval_ms,
     idle_demand_interval_ms,
 )
 from skylarkrack.core.relay._membership import IDLE_DEMANDS_PER_S
+from skylarkrack.core.relay._placement import STATE_TTL_MS
 from skylarkrack.messages import EngineHeartbeat, EngineSnapshot, RelayState, Roster
 from skylarkrack.platform._headers import PlatformCodec
 from skylarkrack.relay import EngineAgent, LogSink, RelayEntry, RelaySettings
@@ -424,6 +426,15 @@
         self.assertEqual(self.membership.addresses_to_probe(200_000.0), [])
 
 
+class TestHeartbeats(unittest.TestCase):
+    """The time between an agent's messages, which grows with the fleet up to a bound."""
+
+    def test_an_entry_misses_two_before_it_takes_the_agent_for_silent(self) -> None:
+        for entries in (1, 30, 68, 3400):
+            self.assertLess(2 * heartbeat_interval_ms(entries), STATE_TTL_MS)
+        self.assertEqual(heartbeat_interval_ms(30), heartbeat_interval_ms(1))
+
+
 class TestIdleDemands(unittest.TestCase):
     """The messages that an agent receives from entries without runs at its engine.
 
