--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -33,13 +33,6 @@
 BUSY_POLL_MS = 12.0
 """Time between reports while an order is carried out; an adapter in memory loads in 25 ms."""
 
-LOADING_DELAY_MS = 200.0
-"""Shortest time from the last message to one that reports only which loads are in progress.
-
-Entries need the adapters that are resident at once. Most loads are complete within this time, and
-are then reported with their result.
-"""
-
 FULL_SNAPSHOT_MS = 1200.0
 """Time between snapshots without a change; a lost snapshot is repaired within this time.
 
@@ -228,7 +221,8 @@
         spare_places = self._scheduler.spare_slots(now_ms)
         usable = self._scheduler.usable_adapters()
         content = (report.started_ms, usable, report.loading)
-        if now_ms - self._sent_ms < self._shortest_pause_ms(content):
+        heartbeat_ms = heartbeat_interval_ms(len(self._peers.alive(ENTRY)))
+        if content == self._advertised and now_ms - self._sent_ms < heartbeat_ms:
             return
         self._sent_ms = now_ms
         self._sequence += 1
@@ -256,14 +250,6 @@
         self._scheduler.record_broadcast(self._sequence)
         self._peers.broadcast_to_entries(message)
 
-    def _shortest_pause_ms(self, content: tuple) -> float:
-        """Return the time to leave after the last message before *content* is sent."""
-        if self._advertised is None or content[:2] != self._advertised[:2]:
-            return 0.0
-        if content != self._advertised:
-            return LOADING_DELAY_MS
-        return heartbeat_interval_ms(len(self._peers.alive(ENTRY)))
-
     def _send_heartbeat(self, spare_places: int) -> None:
         message = EngineHeartbeat(
             vm=self._settings.vm,
