--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from skylarkrack._clock import monotonic_ms
+from skylarkrack._events import Event, log
 from skylarkrack.core.relay import (
     AGENT,
     ENTRY_LIVE_MS,
@@ -164,7 +165,8 @@
 
     def _receive_leaving(self, message: LeavingEndpoints) -> None:
         for address, started_ms in message.endpoints:
-            self._context.dispatcher.directory.mark_leaving((address, started_ms))
+            if self._context.dispatcher.directory.mark_leaving((address, started_ms)):
+                log(Event.ENDPOINT_LEAVING, address=address, started_ms=started_ms, peer=message.vm)
 
     def _receive_state(self, message: RelayState, now_ms: float) -> None:
         self._config_sync.fetch_if_newer(message.status, message.table_version, message.announced)
