Reproduce requests that are sent after their callers have left

Two tests of the entry alone fail:

* a request that may run once is refused by its endpoint after its caller has left, and is sent three more times;
* a request whose caller closed before the entry read it is still sent.

No logic is changed.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -1,6 +1,7 @@
 """Requests sent as raw bytes through an entry to endpoints that fail in different ways."""
 
 import asyncio
+import socket
 import unittest
 
 from skylarkrack._clock import monotonic_ms
@@ -320,6 +321,39 @@
         await self.leave(worker, request("/pay/1", method="POST", body=b"x"), service="desk")
         self.assertTrue(done.is_set())
 
+    async def test_a_request_whose_caller_left_is_not_sent_to_another_endpoint(self) -> None:
+        # The endpoint refuses the request after its caller has left.
+        may_refuse = asyncio.Event()
+
+        async def refuse_late(seen: object, writer: asyncio.StreamWriter) -> bool:
+            await may_refuse.wait()
+            return await refusal()(seen, writer)
+
+        workers = [PlatformWorker([refuse_late]), PlatformWorker([refuse_late])]
+        async with EntryHarness(*workers) as harness:
+            _, writer = await harness.connect()
+            writer.write(request("/pay/1", method="POST", body=b"x"))
+            events = [asyncio.ensure_future(w.first_received.wait()) for w in workers]
+            await asyncio.wait(events, timeout=2, return_when=asyncio.FIRST_COMPLETED)
+            writer.close()
+            await asyncio.sleep(0.1)
+            may_refuse.set()
+            await asyncio.sleep(0.2)
+            for event in events:
+                event.cancel()
+        self.assertEqual(sum(len(worker.received) for worker in workers), 1)
+
+    async def test_a_request_whose_caller_left_before_it_was_read_is_not_sent(self) -> None:
+        worker = PlatformWorker([answer()])
+        async with EntryHarness(worker) as harness:
+            # Its connection is reused, so that the next request could be sent without a delay.
+            self.assertEqual(status_of(await harness.send_raw(request())), 200)
+            # The event loop doesn't run between these calls, as at an entry that is overloaded.
+            with socket.create_connection(harness.entry.callers_address) as connection:
+                connection.sendall(request("/pay/1", method="POST", body=b"x", request_id="r2"))
+            await asyncio.sleep(0.2)
+        self.assertEqual([seen.target for seen in worker.received], ["/look/1"])
+
 
 class TestPlannedStop(PathTest):
     """A planned stop interrupts no running request and accepts none after it.
