Log when callers leave, and measure the lag of the event loop

CALLER_LEFT said neither how long the request had been at the entry nor how often it had been sent, and nothing showed how far an entry's event loop is behind. Without these, a request that is sent again after its caller left, one that was read too late, and an entry that is only overloaded look the same.

CALLER_LEFT now has sends and waited_ms, and event_loop_lag_ms is a histogram of how late the entry's ticks run. No decision changes.

--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -204,7 +204,10 @@
             now_ms = monotonic_ms()
             self.registry.advance(now_ms)
             self._gossip.send_due(now_ms)
+            slept_from_ms = monotonic_ms()
             await asyncio.sleep(TICK_MS / 1000)
+            lag_ms = monotonic_ms() - slept_from_ms - TICK_MS
+            self._context.metrics.observe_ms("event_loop_lag_ms", lag_ms)
 
     def _apply_table(self, table: RoutingTable, document: bytes) -> None:
         self._config_sync.store(document)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -93,6 +93,11 @@
         self._sent_ms = 0.0
         self.state = "placing"
 
+    @property
+    def sends(self) -> int:
+        """How often the request was sent to an endpoint."""
+        return self._attempts.sends + (self.state == "sent")
+
     @property
     def outlives_caller(self) -> bool:
         """Whether the request continues when its caller leaves.
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -71,7 +71,13 @@
             if not exchange.outlives_caller:
                 task.cancel()
                 await asyncio.wait((task,))
-            log(Event.CALLER_LEFT, request=pending.call.request_id, state=exchange.state)
+            log(
+                Event.CALLER_LEFT,
+                request=pending.call.request_id,
+                state=exchange.state,
+                sends=exchange.sends,
+                waited_ms=round(monotonic_ms() - now_ms),
+            )
             self._context.metrics.count("callers_left_total")
             raise
 
