Send a request only while its caller is there

What callers saw: nothing themselves; endpoints worked for callers that had left, and others waited behind that work (GONE).

Cause: whether the caller is still there was decided once, by cancelling the task that serves its connection. A request that may run once is detached from that task while an endpoint has it; if the endpoint then refused it, it was placed and sent again with nobody to cancel it. And a request that was read together with its caller's close was written to a pooled connection before the close was looked at. The class: a send that relies on another task to be stopped in time.

Change: the exchange itself asks, before it places a request and right before the bytes are written, whether the caller has closed its end. 'sent' now begins when bytes are written, so a request that only waits for a connection ends with its caller.

Without the check the guard's test fails.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import LinkLost, Outcome, RequestRefused
+from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import Attempts, Endpoint, FinalFailure, PendingRequest, SendTo
 from skylarkrack.relay._codec import ForwardParameters, ResponseClassification
@@ -61,7 +61,8 @@
 class Exchange:
     """Forwards one admitted request until it has its final response.
 
-    *state* is "placing" until an endpoint is chosen, "sent" after, and "ended" at the end.
+    *state* is "placing" until the request is written to an endpoint, "sent" after, and "ended" at
+    the end.
     """
 
     __slots__ = (
@@ -121,6 +122,7 @@
 
     async def _send_until_answered(self) -> None:
         while True:
+            self._check_caller()
             placement = await self._place()
             try:
                 await self._forward(placement)
@@ -134,6 +136,16 @@
                     raise _refusal_from(failure, str(retry)) from retry
                 self._log.retried(placement, str(retry))
 
+    def _check_caller(self) -> None:
+        """Raise `RequestRefused` if the caller has left, since nobody would get the response."""
+        if self._responder.has_caller_left:
+            outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
+            raise RequestRefused("the caller has left", code=Code.CANCELLED, outcome=outcome)
+
+    def _begin_send(self) -> None:
+        self._check_caller()
+        self.state = "sent"
+
     async def _place(self) -> SendTo:
         """Wait for an endpoint to send the request to; raises `RequestRefused`."""
         self.state = "placing"
@@ -178,7 +190,6 @@
         endpoint, route = placement.endpoint, self.pending.route
         health, request = self._context.dispatcher.health, self._request
         now_ms = monotonic_ms()
-        self.state = "sent"
         try:
             response = await self._context.clients.client_of(endpoint).request(
                 request.method,
@@ -191,6 +202,7 @@
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 max_idle_ms=None if route.is_idempotent else MAX_IDLE_NOT_REPEATABLE_MS,
                 is_own=self._is_own_response,
+                before_send=self._begin_send,
             )
         except LinkLost as error:
             now_ms = monotonic_ms()
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -2,7 +2,7 @@
 
 from skylarkrack._burn import FIRST_TOKEN_OBJECTIVE_MS
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import RequestRefused
+from skylarkrack._errors import Code, RequestRefused
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import Attempts, Endpoint, PendingRequest, SendTo
 from skylarkrack.relay._context import EntryContext
@@ -117,7 +117,8 @@
             sends=attempts.sends,
             runs_begun=attempts.runs,
         )
-        self._context.burn.observe("answered", is_good=False, now_ms=now_ms)
+        if refusal.code is not Code.CANCELLED:
+            self._context.burn.observe("answered", is_good=False, now_ms=now_ms)
         self._context.metrics.count("refused_total", refusal.code.name.lower())
 
     def _write(
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -117,6 +117,7 @@
         fresh: bool = False,
         max_idle_ms: float | None = None,
         is_own: Callable[[Headers], bool] | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> ClientResponse:
         """Send a request and return its response once the head has been received.
 
@@ -124,7 +125,8 @@
         *connect_timeout_ms* is given. *fresh* uses a new connection, so that a failure to connect
         proves that nothing was sent; *max_idle_ms* bounds how long a reused connection may have
         been idle. *is_own* returns whether the headers are of a response to this request; other
-        responses are skipped.
+        responses are skipped. *before_send* is called once there is a connection; if it raises,
+        nothing is sent.
 
         Raises `LinkLost` if the connection fails, a wait times out, or too many responses were
         skipped.
@@ -133,6 +135,8 @@
         if connection is None:
             connection = await self._connect(connect_timeout_ms or timeout_ms)
         try:
+            if before_send is not None:
+                before_send()
             connection.send(self._head(method, target, headers, body), body)
             head = await _read_own_head(connection, timeout_ms, is_own)
         except BaseException:
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -75,6 +75,7 @@
         "_has_ended",
         "_may_keep_alive",
         "_pending_chunks",
+        "_reader",
         "_writer",
         "has_started",
     )
@@ -82,11 +83,13 @@
     def __init__(
         self,
         connection: h11.Connection,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
         may_keep_alive: Callable[[], bool],
     ) -> None:
         self._connection = connection
+        self._reader = reader
         self._writer = writer
         self._may_keep_alive = may_keep_alive
         self._has_ended = False
@@ -98,6 +101,11 @@
         """Whether the connection is closed, so that nothing can be written."""
         return self._writer.transport.is_closing()
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed its end of the connection, or the connection is closed."""
+        return self.is_disconnected or self._reader.at_eof()
+
     @property
     def has_ended(self) -> bool:
         """Whether the response is complete."""
@@ -290,7 +298,10 @@
         if request is None:
             return False
         responder = Responder(
-            self._h11, self._writer, may_keep_alive=lambda: not self._server.is_closing
+            self._h11,
+            self._reader,
+            self._writer,
+            may_keep_alive=lambda: not self._server.is_closing,
         )
         await self._handle(request, responder)
         self._is_idle = True
@@ -423,7 +434,7 @@
         log(Event.BAD_CALLER, server=self._server._name, code=int(refusal.code))
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(self._h11, self._writer, may_keep_alive=lambda: False)
+        responder = Responder(self._h11, self._reader, self._writer, may_keep_alive=lambda: False)
         self._server._refuse(responder, refusal)
 
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -443,6 +443,13 @@
         without="if not responder.has_ended:",
         test="tests.test_relay_path.TestPlannedStop.test_a_connection_closes_after_a_stream_that_was_running",
     ),
+    Guard(
+        name="relay-caller-left",
+        file="relay/_exchange.py",
+        code="if self._responder.has_caller_left:",
+        without="if False:",
+        test="tests.test_relay_path.TestCallerDisconnects.test_a_request_whose_caller_left_is_not_sent_to_another_endpoint",
+    ),
     Guard(
         name="relay-good-no-suspect",
         file="core/relay/_crashes.py",
