Notice callers that leave after they have pipelined bytes

What callers saw: nothing themselves; their streams went on at the endpoint until the deadline (GONE).

Cause: once the bytes of a caller's next requests exceeded the limit on a head, its connection was not read any more, so its close was never seen.

Change: up to a head and a body of the next request are kept, as many bytes as one request may have anyway. What exceeds that is dropped, the connection is read on until its close, and it ends with the current response.

Evidence: test_a_caller_that_leaves_after_pipelined_bytes_is_noticed failed before (the endpoint's connection stayed open for 2 s) and passes; a pipelined request with a body of 15,000 bytes is answered, before and after.

--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -258,7 +258,7 @@
 class _Connection:
     """One caller's connection; requests are read and answered one after another."""
 
-    __slots__ = ("_h11", "_is_idle", "_reader", "_server", "_writer")
+    __slots__ = ("_h11", "_has_dropped_bytes", "_is_idle", "_reader", "_server", "_writer")
 
     def __init__(
         self, server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -267,6 +267,7 @@
         self._reader = reader
         self._writer = writer
         self._h11 = self._new_parser()
+        self._has_dropped_bytes = False
         self._is_idle = True
 
     def _new_parser(self) -> h11.Connection:
@@ -305,7 +306,7 @@
         )
         await self._handle(request, responder)
         self._is_idle = True
-        if not responder.has_ended or self._server.is_closing:
+        if not responder.has_ended or self._server.is_closing or self._has_dropped_bytes:
             return False
         return self._start_next_cycle()
 
@@ -333,19 +334,21 @@
     async def _wait_for_close(self) -> None:
         """Return when the caller has closed the connection.
 
-        Bytes of the next request are kept in the parser.
+        Bytes of the next request are kept in the parser. More than a request may have are dropped,
+        and the connection then ends with the current response.
         """
+        limits = self._server._limits
         while not self._h11.trailing_data[1]:
             data = await self._reader.read(READ_BYTES)
+            self._has_dropped_bytes |= (
+                len(self._h11.trailing_data[0]) > limits.head_bytes + limits.body_bytes
+            )
+            if data and self._has_dropped_bytes:
+                continue
             try:
                 self._h11.receive_data(data)
             except RuntimeError:
                 return
-            if not data:
-                return
-            if len(self._h11.trailing_data[0]) > self._server._limits.head_bytes:
-                # Bounds the bytes kept for the next request; a close is not noticed any more.
-                await asyncio.Event().wait()
 
     def _start_next_cycle(self) -> bool:
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -354,6 +354,34 @@
             await asyncio.sleep(0.2)
         self.assertEqual([seen.target for seen in worker.received], ["/look/1"])
 
+    async def test_a_caller_that_leaves_after_pipelined_bytes_is_noticed(self) -> None:
+        for pipelined in (b"x" * 5_000, b"x" * 100_000):
+            with self.subTest(bytes=len(pipelined)):
+                worker = PlatformWorker([silence()])
+                await self.leave(worker, model_request() + pipelined, service="llm")
+                self.assertTrue(worker.closed.is_set())
+
+    async def test_a_pipelined_request_with_a_large_body_is_answered(self) -> None:
+        may_continue = asyncio.Event()
+
+        async def slow(seen: object, writer: asyncio.StreamWriter) -> bool:
+            await may_continue.wait()
+            return await answer()(seen, writer)
+
+        worker = PlatformWorker([slow, answer()])
+        async with EntryHarness(worker) as harness:
+            reader, writer = await harness.connect()
+            writer.write(request(keep_alive=True))
+            writer.write(request("/pay/1", method="POST", body=b"x" * 15_000, request_id="r2"))
+            await asyncio.wait_for(worker.first_received.wait(), 2)
+            await asyncio.sleep(0.1)
+            may_continue.set()
+            async with asyncio.timeout(2):
+                data = await reader.read(-1)
+            writer.close()
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(len(worker.received[1].body), 15_000)
+
 
 class TestPlannedStop(PathTest):
     """A planned stop interrupts no running request and accepts none after it.
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -439,8 +439,8 @@
     Guard(
         name="relay-close-after-answer",
         file="web/_server.py",
-        code="if not responder.has_ended or self._server.is_closing:",
-        without="if not responder.has_ended:",
+        code="if not responder.has_ended or self._server.is_closing or self._has_dropped_bytes:",
+        without="if not responder.has_ended or self._has_dropped_bytes:",
         test="tests.test_relay_path.TestPlannedStop.test_a_connection_closes_after_a_stream_that_was_running",
     ),
     Guard(
