--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -157,10 +157,24 @@
     return ("\r\n".join(lines) + "\r\n" + headers + "\r\n").encode() + body
 
 
-def model_request(path: str = "/chat/1", *, adapter: str = "a1", headers: str = "") -> bytes:
-    """Return a request to the model `MODEL` with *adapter*."""
-    fields = f"X-Model: {MODEL}/{adapter}\r\nX-Token-Count: 100,50\r\nX-Prompt-Prefix: ab:10\r\n"
-    return request(path, method="POST", body=b"prompt", headers=fields + headers)
+def model_request(
+    path: str = "/chat/1",
+    *,
+    adapter: str = "a1",
+    prefix: str = "ab:10",
+    request_id: str = "r1",
+    headers: str = "",
+) -> bytes:
+    """Return a request to the model `MODEL` with *adapter*; its body is the prompt's *prefix*."""
+    fields = f"X-Model: {MODEL}/{adapter}\r\nX-Token-Count: 100,50\r\n"
+    fields += f"X-Prompt-Prefix: {prefix}\r\n"
+    return request(
+        path,
+        method="POST",
+        body=prefix.encode(),
+        request_id=request_id,
+        headers=fields + headers,
+    )
 
 
 def engine_report_of(worker: PlatformWorker, *adapters: str) -> EngineStateReceived:
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -8,8 +8,8 @@
 
 from skylarkrack.core.relay import CrashTracker
 from skylarkrack.core.relay._crashes import QUARANTINE_MS
-from standins.platform_worker import PlatformWorker, Received, answer
-from tests.platform_builders import EntryHarness, request
+from standins.platform_worker import PlatformWorker, Received, answer, stream
+from tests.platform_builders import EntryHarness, model_request, request
 from tests.test_relay_path import PathTest, status_of
 
 ONE, TWO, THREE = ("a:1", 1000), ("b:1", 1000), ("c:1", 1000)
@@ -106,3 +106,28 @@
         self.assertLessEqual(crashed, 3)
         self.assertEqual({status for body, status in statuses if body == b"fine"}, {200})
         self.assertEqual(statuses[-2], (b"crash", 503))
+
+    async def test_different_requests_with_a_segment_that_crashes_endpoints(self) -> None:
+        # Only a segment of the prompt is common to the requests; sound ones share all others.
+        workers: list[PlatformWorker] = []
+
+        async def crash(seen: Received, writer: object) -> bool:
+            if "deadly:" not in seen.headers["x-prompt-prefix"]:
+                return await stream(b"id: 1\ndata: a\n\n")(seen, writer)
+            next(w for w in workers if seen in w.received).crash()
+            return False
+
+        workers += [PlatformWorker([crash]) for _ in range(12)]
+        sound_statuses = []
+        async with EntryHarness(*workers, service="llm") as harness:
+            for number in range(20):
+                for middle in ("deadly", "sound"):
+                    prefix = f"first:10,{middle}:20,own{number}{middle}:5"
+                    data = model_request(prefix=prefix, request_id=f"{middle}{number}")
+                    status = status_of(await harness.send_raw(data))
+                    if middle == "sound":
+                        sound_statuses.append(status)
+        received = [r for worker in workers for r in worker.received]
+        deadly = [r for r in received if "deadly:" in r.headers["x-prompt-prefix"]]
+        self.assertLessEqual(len(deadly), 5)
+        self.assertEqual(set(sound_statuses), {200})
