--- a/src/skylarkrack/core/relay/_call.py
+++ b/src/skylarkrack/core/relay/_call.py
@@ -24,6 +24,13 @@
         """Model and adapter; the adapter is "" for the base model itself."""
         return self.model, self.adapter or ""
 
+    @property
+    def shared_segments(self) -> tuple[str, ...]:
+        """Ids of the segments that other requests may have too; the last one is the request's own,
+        or its session's.
+        """
+        return tuple(segment_id for segment_id, _ in self.prefix[:-1])
+
     @property
     def tokens(self) -> int:
         """Prompt tokens and output tokens together."""
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -107,6 +107,11 @@
     ) -> None:
         """Record a refusal, or a response that broke off after it *has_begun*."""
         now_ms = monotonic_ms()
+        need = self._pending.need
+        lost_fields = {}
+        if refusal.code is Code.ENDPOINT_LOST and need is not None:
+            # What lost requests have in common may be what crashes their endpoints.
+            lost_fields["segments"] = list(need.shared_segments)
         self._write(
             Event.RELAY_BROKEN if has_begun else Event.RELAY_REFUSED,
             now_ms - self._pending.call.arrived_ms,
@@ -116,6 +121,7 @@
             reason=str(refusal),
             sends=attempts.sends,
             runs_begun=attempts.runs,
+            **lost_fields,
         )
         if refusal.code is not Code.CANCELLED:
             self._context.burn.observe("answered", is_good=False, now_ms=now_ms)
