Refuse prompts with a segment under which engines crash

Cause: a request is known by a digest of organisation, path and body. The class: evidence kept for too narrow a key.

Ruled out: crashes that are not recognised (each loss is followed within 3 ms by a refused connection), and repeats by the entry (streams that may run once are sent once). Logs of the lost requests' segments show one segment in at least one request of each of 19 crashes, and two sound ones beside it as often.

Change: SegmentTracker. Entries exchange the segments of lost requests and refuse those with the segments that three crashes share; sound segments are left out, and segments that always came together are refused only together. Refused at once at admission and before any send.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -78,6 +78,8 @@
     ENDPOINT_LEAVING = 728
     ENDPOINT_PAUSED = 729
     STORE_REWOUND = 730
+    SEGMENTS_QUARANTINED = 731
+    SEGMENTS_RELEASED = 732
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -48,6 +48,7 @@
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._quota_limiter import QuotaLimiter
+from skylarkrack.core.relay._segments import SegmentReport, SegmentTracker
 from skylarkrack.core.relay._store_feed import (
     FeedHistory,
     FeedKind,
@@ -80,6 +81,8 @@
     "CallerLimits",
     "ProcessContact",
     "CrashTracker",
+    "SegmentReport",
+    "SegmentTracker",
     "Decision",
     "EndpointDirectory",
     "Dispatcher",
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -445,3 +445,21 @@
     removed: list
     versions: list
     restored_ago_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SuspectSegments:
+    """Prompt segments that may crash engines, as an entry knows them, in a datagram.
+
+    *losses* holds rows of [crash id, segments of a request that was lost at that crash],
+    *quarantines* rows of [segments that are refused together, ms left], and *sound* segments that
+    did not crash an engine.
+    """
+
+    vm: str
+    address: str
+    domain: str
+    passes_on: bool
+    losses: list
+    quarantines: list
+    sound: list
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -36,12 +36,19 @@
 an unknown outcome. Requests that may be repeated use connections of any idle time.
 """
 
+SURVIVED_MS = 500.0
+"""Time after the first event of a stream by which its prompt has not crashed the engine.
+
+A crash of the engine is seen within a few ms, unless packets are lost.
+"""
+
 LEAST_URGENT = 9
 """Largest, that is least urgent, value sent to endpoints; larger ones are sent as this."""
 
 BASE_URGENCY = 2
 """Urgency of priority 0; lower values are reserved for requests that must precede all others."""
 
+_REDIRECTION = 300
 _SERVER_ERROR = 500
 
 
@@ -122,7 +129,7 @@
 
     async def _send_until_answered(self) -> None:
         while True:
-            self._check_caller()
+            self._check_sendable()
             placement = await self._place()
             try:
                 await self._forward(placement)
@@ -136,14 +143,19 @@
                     raise _refusal_from(failure, str(retry)) from retry
                 self._log.retried(placement, str(retry))
 
-    def _check_caller(self) -> None:
-        """Raise `RequestRefused` if the caller has left, since nobody would get the response."""
+    def _check_sendable(self) -> None:
+        """Raise `RequestRefused` if the caller has left or the request may crash an endpoint."""
+        outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
         if self._responder.has_caller_left:
-            outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
             raise RequestRefused("the caller has left", code=Code.CANCELLED, outcome=outcome)
+        if self._context.crash_tracker.is_refused(
+            self.pending.fingerprint, monotonic_ms(), segments=self.pending.shared_segments
+        ):
+            code = Code.ENDPOINT_LOST if self._attempts.runs else Code.CRASH_SUSPECT
+            raise RequestRefused("endpoints died while this ran", code=code, outcome=outcome)
 
     def _begin_send(self) -> None:
-        self._check_caller()
+        self._check_sendable()
         self.state = "sent"
 
     async def _place(self) -> SendTo:
@@ -311,7 +323,7 @@
         if not classification.carries_proof:
             raise _RetryRequest("a stream without proof", was_sent=True, may_have_run=True)
         health, head_ms = self._context.dispatcher.health, monotonic_ms()
-        is_first = True
+        is_first, has_survived, first_ms = True, False, head_ms
         try:
             async for data in response.iter_body(
                 timeout_ms=self._remaining_ms(head_ms) + RESPONSE_SLACK_MS
@@ -320,9 +332,13 @@
                 if not whole:
                     continue
                 if is_first:
-                    is_first = False
+                    is_first, first_ms = False, monotonic_ms()
                     self._overdue_timer.cancel()
-                    health.record_response(endpoint.key, monotonic_ms() - head_ms, monotonic_ms())
+                    health.record_response(endpoint.key, first_ms - head_ms, first_ms)
+                elif not has_survived and monotonic_ms() - first_ms >= SURVIVED_MS:
+                    has_survived = True
+                    segments = self.pending.shared_segments
+                    self._context.crash_tracker.segments.record_sound(segments, monotonic_ms())
                 self._forward_events(response, whole)
         except (LinkLost, ValueError) as error:
             self._record_lost_response(endpoint)
@@ -351,7 +367,12 @@
         """Record a lost response, and check the endpoint; the request may have crashed it."""
         now_ms = monotonic_ms()
         self._context.dispatcher.health.record_failure(endpoint.key, now_ms)
-        self._context.crash_tracker.record_loss(self.pending.fingerprint, endpoint.key, now_ms)
+        self._context.crash_tracker.record_loss(
+            self.pending.fingerprint,
+            endpoint.key,
+            now_ms,
+            segments=self.pending.shared_segments,
+        )
         self._context.tasks.spawn(self._check_alive(endpoint))
 
     async def _check_alive(self, endpoint: Endpoint) -> None:
@@ -370,7 +391,10 @@
 
     def _record_end(self, status: int, placement: SendTo) -> None:
         self.state = "ended"
-        self._context.crash_tracker.record_success(self.pending.fingerprint, monotonic_ms())
+        segments = self.pending.shared_segments if status < _REDIRECTION else ()
+        self._context.crash_tracker.record_success(
+            self.pending.fingerprint, monotonic_ms(), segments=segments
+        )
         self._log.ended(status, placement, self._attempts)
 
     def _fail(self, refusal: RequestRefused) -> None:
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -107,11 +107,10 @@
     ) -> None:
         """Record a refusal, or a response that broke off after it *has_begun*."""
         now_ms = monotonic_ms()
-        need = self._pending.need
         lost_fields = {}
-        if refusal.code is Code.ENDPOINT_LOST and need is not None:
+        if refusal.code is Code.ENDPOINT_LOST and self._pending.need is not None:
             # What lost requests have in common may be what crashes their endpoints.
-            lost_fields["segments"] = list(need.shared_segments)
+            lost_fields["segments"] = list(self._pending.shared_segments)
         self._write(
             Event.RELAY_BROKEN if has_begun else Event.RELAY_REFUSED,
             now_ms - self._pending.call.arrived_ms,
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -32,10 +32,12 @@
     LeavingEndpoints,
     RelayState,
     StoreStep,
+    SuspectSegments,
 )
 from skylarkrack.relay._config_sync import ConfigSync
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._peers import ENTRY, Peers
+from skylarkrack.relay._segment_reports import SegmentReports
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.relay._store_feed import StoreFeed
 
@@ -81,6 +83,7 @@
         "_incarnation",
         "_last_received_by_endpoint",
         "_peers",
+        "_segment_reports",
         "_last_complete_grants",
         "_leaving_due_by_key",
         "_sent_in_use_by_key",
@@ -109,6 +112,9 @@
             list_entries=lambda: self._peers.alive(ENTRY),
             send=self._peers.broadcast_in_domain,
         )
+        self._segment_reports = SegmentReports(
+            self._peers, crash_tracker=context.crash_tracker, metrics=context.metrics
+        )
         # Broadcasts left and the time of the next one, for each leaving endpoint.
         self._leaving_due_by_key: dict[EndpointKey, tuple[int, float]] = {}
         self._agent_address_by_endpoint: dict[str, str] = {}
@@ -156,12 +162,17 @@
             self._receive_leaving(message)
         elif isinstance(message, StoreStep):
             self.feed.receive(message)
+        elif isinstance(message, SuspectSegments):
+            self._segment_reports.receive(message, now_ms)
 
     def _on_join(self, contact: ProcessContact) -> None:
-        """Send a new entry the endpoints that are known to be leaving."""
+        """Send a new entry the endpoints that are leaving and the segments that are refused."""
+        if contact.role != ENTRY:
+            return
         keys = self._context.dispatcher.directory.leaving_keys()
-        if contact.role == ENTRY and keys:
+        if keys:
             self._peers.send(self._leaving_message(keys), contact.address)
+        self._segment_reports.send_all(contact.address, monotonic_ms())
 
     def _receive_leaving(self, message: LeavingEndpoints) -> None:
         for address, started_ms in message.endpoints:
@@ -254,6 +265,7 @@
         self._broadcast_state(now_ms)
         self._send_due_demands(now_ms)
         self._broadcast_leaving(now_ms)
+        self._segment_reports.send_due(now_ms)
         self._peers.probe_silent(now_ms)
 
     def _broadcast_state(self, now_ms: float) -> None:
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -13,6 +13,7 @@
     RelayState,
     Roster,
     StoreStep,
+    SuspectSegments,
 )
 from skylarkrack.relay._datagrams import Datagrams
 from skylarkrack.relay._settings import RelaySettings
@@ -25,10 +26,11 @@
     EngineHeartbeat: AGENT,
     LeavingEndpoints: ENTRY,
     StoreStep: ENTRY,
+    SuspectSegments: ENTRY,
 }
-_BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat, LeavingEndpoints)
+_BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat, LeavingEndpoints, SuspectSegments)
 
-Broadcast = RelayState | EngineSnapshot | EngineHeartbeat | LeavingEndpoints
+Broadcast = RelayState | EngineSnapshot | EngineHeartbeat | LeavingEndpoints | SuspectSegments
 
 
 class Peers:
--- a/src/skylarkrack/wire/_codec.py
+++ b/src/skylarkrack/wire/_codec.py
@@ -58,6 +58,7 @@
     33: messages.EngineHeartbeat,
     34: messages.LeavingEndpoints,
     35: messages.StoreStep,
+    36: messages.SuspectSegments,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in _TYPE_BY_NUMBER.items()}
 _FIELD_NAMES_BY_TYPE = {kind: tuple(f.name for f in fields(kind)) for kind in _NUMBER_BY_TYPE}
