Count streams that end within an event as lost answers

What callers saw: where answers end with their connection, every request with a segment that crashes engines still took an engine with it.

Cause: a crash then looks like the end of an answer. A stream that ends before its first whole event, or within one, was counted as a failure of the endpoint, but neither as a lost answer nor checked for a crash.

Change: it is recorded as any other lost answer, and the endpoint is checked.

Evidence: test_the_same_where_answers_end_with_their_connection failed before (12 of 12 endpoints crashed, with no byte and with a part of an event) and passes. That such a stream is whole only after a whole event held before and has a test now.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -345,7 +345,8 @@
             self._event_stream.drop_partial()
             raise _RetryRequest(str(error), was_sent=True, may_have_run=True) from error
         if self._event_stream.has_partial or is_first:
-            health.record_failure(endpoint.key, monotonic_ms())
+            # A response without a length ends like this where its endpoint crashed.
+            self._record_lost_response(endpoint)
             self._event_stream.drop_partial()
             raise _RetryRequest("ended within an event", was_sent=True, may_have_run=True)
         self._responder.end()
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -8,7 +8,15 @@
 
 from skylarkrack.core.relay import CrashTracker
 from skylarkrack.core.relay._crashes import QUARANTINE_MS
-from standins.platform_worker import PlatformWorker, Received, answer, stream
+from standins.platform_worker import (
+    PlatformWorker,
+    Received,
+    Reply,
+    answer,
+    silence,
+    stream,
+    without_length,
+)
 from tests.platform_builders import EntryHarness, model_request, request
 from tests.test_relay_path import PathTest, status_of
 
@@ -108,12 +116,25 @@
         self.assertEqual(statuses[-2], (b"crash", 503))
 
     async def test_different_requests_with_a_segment_that_crashes_endpoints(self) -> None:
-        # Only a segment of the prompt is common to the requests; sound ones share all others.
+        await self.send_deadly_and_sound(silence())
+
+    async def test_the_same_where_answers_end_with_their_connection(self) -> None:
+        # A crash looks like the end of an answer without a length.
+        for begun in (b"", b"id: 1\ndata: a"):
+            with self.subTest(begun=begun):
+                await self.send_deadly_and_sound(without_length(begun, resets=False))
+
+    async def send_deadly_and_sound(self, last_reply: Reply) -> None:
+        """Send requests that have only a segment in common, and sound ones that share all others.
+
+        An endpoint sends *last_reply* before it crashes.
+        """
         workers: list[PlatformWorker] = []
 
         async def crash(seen: Received, writer: object) -> bool:
             if "deadly:" not in seen.headers["x-prompt-prefix"]:
                 return await stream(b"id: 1\ndata: a\n\n")(seen, writer)
+            await last_reply(seen, writer)
             next(w for w in workers if seen in w.received).crash()
             return False
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -236,6 +236,15 @@
         response = await self.ask(worker, request())
         self.assertTrue(response.endswith(b"whole"))
 
+    async def test_a_stream_without_length_is_complete_only_after_a_whole_event(self) -> None:
+        for body, whole in ((b"".join(EVENTS), True), (EVENTS[0] + b"id: 2\ndat", False)):
+            with self.subTest(body=body):
+                worker = PlatformWorker([without_length(body, resets=False)])
+                response = await self.ask(worker, model_request(), service="llm")
+                self.assertEqual(is_whole(response), whole)
+                self.assertIn(EVENTS[0], response)
+                self.assertNotIn(b"dat\r\n", response)
+
 
 class TestConnections(PathTest):
     """Responses that belong to no request, and the reuse of connections.
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -464,6 +464,13 @@
         without="return is_suspect",
         test="tests.test_relay_crashes.TestCrashingRequest.test_different_requests_with_a_segment_that_crashes_endpoints",
     ),
+    Guard(
+        name="relay-broken-stream-is-a-loss",
+        file="relay/_exchange.py",
+        code="endpoint crashed.\n            self._record_lost_response(endpoint)",
+        without="endpoint crashed.\n            health.record_failure(endpoint.key, head_ms)",
+        test="tests.test_relay_crashes.TestCrashingRequest.test_the_same_where_answers_end_with_their_connection",
+    ),
     Guard(
         name="relay-segment-explained",
         file="core/relay/_segments.py",
