Evaluate lost requests only where crashes may share a segment

It is done now only if a segment of the new ones was lost at three crashes; the check takes a pass over the losses. Groups that contain a quarantined one are no candidates any more: a group that could not be added kept the evaluation busy until its bound. Reports hold 100 rows, since one entry can lose more than 30 requests at once.

--- a/src/skylarkrack/core/relay/_segments.py
+++ b/src/skylarkrack/core/relay/_segments.py
@@ -35,7 +35,7 @@
 MAX_GROUPS = 100
 """Bounds on lost requests, sound segments and groups; beyond them the oldest are dropped."""
 
-MAX_REPORTED = 30
+MAX_REPORTED = 100
 """Rows of each kind in one report to other entries; only the newest are sent."""
 
 REPORT_REPEATS = 3
@@ -77,18 +77,18 @@
         "_loss_ms_by_row",
         "_own_rows",
         "_quarantine_by_group",
+        "_quarantined",
         "_released",
         "_reported_ms",
         "_reports_left",
         "_sound_ms_by_segment",
-        "_quarantined",
     )
 
     def __init__(self) -> None:
         self._loss_ms_by_row: OrderedDict[tuple[int, Group], float] = OrderedDict()
         self._sound_ms_by_segment: OrderedDict[str, float] = OrderedDict()
         self._quarantine_by_group: OrderedDict[Group, _Quarantine] = OrderedDict()
-        # News that was not reported REPORT_REPEATS times yet.
+        # What the next reports hold.
         self._own_rows: OrderedDict[tuple[int, Group], None] = OrderedDict()
         self._disputed: OrderedDict[str, None] = OrderedDict()
         self._reports_left = 0
@@ -116,7 +116,8 @@
         if row[1] and self._add_loss(row, now_ms):
             self._own_rows[row] = None
             self._reports_left = REPORT_REPEATS
-            self._evaluate(now_ms)
+            if self._are_shared(row[1]):
+                self._evaluate(now_ms)
 
     def record_sound(self, segments: Iterable[str], now_ms: float) -> None:
         """Record that an engine survived a request with *segments*."""
@@ -127,9 +128,9 @@
 
     def receive_report(self, report: SegmentReport, now_ms: float) -> None:
         """Merge another entry's report; a crash counts once, whoever reports it."""
-        has_changed = False
+        is_narrowed, new_segments = False, set()
         for segment in report.sound:
-            has_changed |= self._clear(segment, now_ms)
+            is_narrowed |= self._clear(segment, now_ms)
         for group, left_ms in report.quarantines:
             suspects = self._without_sound(group, now_ms)
             self._dispute(group - suspects)
@@ -137,8 +138,9 @@
                 self._quarantine(suspects, left_ms, now_ms)
         for crash_id, segments in report.losses:
             suspects = self._without_sound(segments, now_ms)
-            has_changed |= bool(suspects) and self._add_loss((crash_id, suspects), now_ms)
-        if has_changed:
+            if suspects and self._add_loss((crash_id, suspects), now_ms):
+                new_segments |= suspects
+        if is_narrowed or self._are_shared(new_segments):
             self._evaluate(now_ms)
 
     def take_report(self, now_ms: float) -> SegmentReport | None:
@@ -171,6 +173,14 @@
                 self._quarantine(group, longer_ms, now_ms)
         return True
 
+    def _are_shared(self, segments: Iterable[str]) -> bool:
+        """Return whether any of *segments* was lost at so many crashes that it is a candidate."""
+        return any(
+            len({crash_id for crash_id, lost in self._loss_ms_by_row if segment in lost})
+            >= QUARANTINE_CRASHES
+            for segment in segments
+        )
+
     def _evaluate(self, now_ms: float) -> None:
         """Quarantine the groups that the losses point at."""
         for _ in range(MAX_GROUPS):
@@ -200,8 +210,11 @@
                 crashes_by_group[group] = max(crashes, crashes_by_group.get(group, 0))
         for known in self._quarantine_by_group:
             explained = len({crash_id for crash_id, segments in rows if known <= segments})
-            for group in [g for g, n in crashes_by_group.items() if g <= known and n <= explained]:
-                del crashes_by_group[group]
+            crashes_by_group = {
+                group: crashes
+                for group, crashes in crashes_by_group.items()
+                if not known <= group and (crashes > explained or not group < known)
+            }
         most = max(crashes_by_group.values(), default=0)
         leaders = [group for group, crashes in crashes_by_group.items() if crashes == most]
         widest = [group for group in leaders if not any(group < other for other in leaders)]
