Let callers of the soak leave, and check what reaches endpoints after

The soak's callers always waited for their answers, so it could not show work for callers that had left. About one in seven now closes its connection within 100 ms, and a request that begins at an endpoint over 500 ms later is a violation, unless its entry was frozen or a proxy held packets back at that moment.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -73,10 +73,12 @@
     def begin_run(self, request: Request, *, is_repeatable: bool) -> None:
         """Record in the checker that the request runs, and the tokens that it declares."""
         headers = {name.decode(): value.decode() for name, value in request.headers}
-        request_id = headers["x-attempt-id"]
-        self.checker.record_run(request_id, is_repeatable=is_repeatable, headers=headers)
+        request_id, now_s = headers["x-attempt-id"], asyncio.get_running_loop().time()
+        self.checker.record_run(
+            request_id, is_repeatable=is_repeatable, headers=headers, now_s=now_s
+        )
         tokens = sum(float(count) for count in headers.get("x-token-count", "200,0").split(","))
-        self.checker.record_tokens(tokens, asyncio.get_running_loop().time())
+        self.checker.record_tokens(tokens, now_s)
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Run a request and send its response."""
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -18,13 +18,17 @@
 unreachable in the meantime.
 """
 
+LEFT_LIMIT_S = 0.5
+"""Time after a caller has left by which its request must not reach an endpoint any more."""
+
 
 @dataclass(slots=True)
 class GuaranteeChecker:
     """Records runs at endpoints and responses at callers.
 
     `violations` describes each violation of a guarantee. The rate is in tokens per second, the
-    burst in tokens; `token_records` holds pairs of a time in seconds and tokens.
+    burst in tokens; `token_records` holds pairs of a time in seconds and tokens. `left_s_by_id`
+    holds when callers left, without those whose requests may be held up by a fault.
     """
 
     rate_per_s: float
@@ -35,9 +39,15 @@
     withdrawn_s_by_key: dict[str, float] = field(default_factory=dict)
     token_records: list[tuple[float, float]] = field(default_factory=list)
     count_by_status: Counter = field(default_factory=Counter)
+    left_s_by_id: dict[str, float] = field(default_factory=dict)
 
-    def record_run(self, request_id: str, *, is_repeatable: bool, headers: dict[str, str]) -> None:
+    def record_run(
+        self, request_id: str, *, is_repeatable: bool, headers: dict[str, str], now_s: float
+    ) -> None:
         """Record that an endpoint began to run a request, and check its headers."""
+        left_s = self.left_s_by_id.get(request_id, now_s)
+        if now_s > left_s + LEFT_LIMIT_S:
+            self.violations.append(f"{request_id} ran {now_s - left_s:.1f} s after its caller left")
         self.runs_by_id[request_id] += 1
         if self.runs_by_id[request_id] > 1 and not is_repeatable:
             self.violations.append(f"{request_id} ran {self.runs_by_id[request_id]} times")
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,10 @@
 """Ratio of the `PROBES` requests that must succeed; fewer are a violation."""
 
 PROBES = 60
+LEAVING_RATIO = 0.15
+"""Ratio of the requests whose callers leave before they can be answered."""
+
+MAX_STAY_S = 0.1
 ANSWER_TIMEOUT_MS = 6000.0
 
 
@@ -117,7 +121,9 @@
                 client = HttpClient(f"{machine.ip}:{machine.front_address[1]}")
             kind = self._callers_random.choice(("chat", "chat", "draft", "look", "pay"))
             key = self._callers_random.choice(("key-one", "key-two"))
-            if await self._send_and_check(machine, kind, key, client=client) == 0:
+            if self._callers_random.random() < LEAVING_RATIO:
+                await self._send_and_leave(machine, kind, key)
+            elif await self._send_and_check(machine, kind, key, client=client) == 0:
                 client = None
             await asyncio.sleep(self._callers_random.uniform(0.01, 0.1))
 
@@ -129,18 +135,7 @@
         Return the status, or 0 if no complete response was received. Without a *client*, the
         request has a connection of its own.
         """
-        self._request_count += 1
-        request_id = f"r{self._request_count}"
-        headers = [
-            (b"host", b"a.example"),
-            (b"x-attempt-id", request_id.encode()),
-            (b"x-deadline-ms", b"4000"),
-            (b"authorization", b"Token " + key.encode()),
-        ]
-        if kind in ("chat", "draft"):
-            adapter = f"a{min(9, int(self._callers_random.paretovariate(1.0)))}"
-            headers.append((b"x-model", f"{MODEL}/{adapter}".encode()))
-            headers.append((b"x-token-count", b"20,30"))
+        request_id, headers = self._next_request(kind, key)
         is_repeatable = kind in ("draft", "look")
         sent_s = asyncio.get_running_loop().time()
         used_client = client or HttpClient(f"{machine.ip}:{machine.front_address[1]}")
@@ -165,6 +160,43 @@
             self._check_key_revocation(machine, key, request_id, sent_s)
         return answer.status
 
+    async def _send_and_leave(self, machine: Machine, kind: str, key: str) -> None:
+        """Send one request and close the connection after at most `MAX_STAY_S`."""
+        request_id, headers = self._next_request(kind, key)
+        client = HttpClient(f"{machine.ip}:{machine.front_address[1]}")
+        try:
+            async with asyncio.timeout(self._callers_random.uniform(0.0, MAX_STAY_S)):
+                answer = await client.request(
+                    "POST", f"/{kind}/x", headers=headers, timeout_ms=ANSWER_TIMEOUT_MS
+                )
+                answer.close()
+        except (LinkLost, TimeoutError):
+            pass
+        left_s = asyncio.get_running_loop().time()
+        if not self._is_held_up(machine, left_s):
+            self.fleet.checker.left_s_by_id[request_id] = left_s
+
+    def _is_held_up(self, machine: Machine, now_s: float) -> bool:
+        """Return whether a fault may delay a close, or a request on its way to an endpoint."""
+        is_desk_troubled = any(proxy.fault is not Fault.NONE for proxy in self.fleet.proxies)
+        return is_desk_troubled or machine.frozen_until_s > now_s
+
+    def _next_request(self, kind: str, key: str) -> tuple[str, list[tuple[bytes, bytes]]]:
+        """Return the id and the headers of the next request."""
+        self._request_count += 1
+        request_id = f"r{self._request_count}"
+        headers = [
+            (b"host", b"a.example"),
+            (b"x-attempt-id", request_id.encode()),
+            (b"x-deadline-ms", b"4000"),
+            (b"authorization", b"Token " + key.encode()),
+        ]
+        if kind in ("chat", "draft"):
+            adapter = f"a{min(9, int(self._callers_random.paretovariate(1.0)))}"
+            headers.append((b"x-model", f"{MODEL}/{adapter}".encode()))
+            headers.append((b"x-token-count", b"20,30"))
+        return request_id, headers
+
     def _check_key_revocation(
         self, machine: Machine, key: str, request_id: str, sent_s: float
     ) -> None:
