--- a/tools/guards.py
+++ b/tools/guards.py
@@ -453,8 +453,8 @@
     Guard(
         name="relay-pipelined-close",
         file="web/_server.py",
-        code="            if data and self._has_dropped_bytes:\n                continue\n",
-        without="            if self._has_dropped_bytes:\n                await asyncio.Event().wait()\n",
+        code="if data and self._has_dropped_bytes:\n                continue",
+        without="if self._has_dropped_bytes:\n                await asyncio.Event().wait()",
         test="tests.test_relay_path.TestCallerDisconnects.test_a_caller_that_leaves_after_pipelined_bytes_is_noticed",
     ),
     Guard(
