Log the segments of requests that are refused as crash suspects

RELAY_REFUSED with 3005 did not tell which quarantine a request fell under. It holds the request's segments now, at admission and after a wait.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -10,7 +10,7 @@
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._event_stream import EventStream
 from skylarkrack.relay._exchange_log import ExchangeLog
-from skylarkrack.relay._refusals import write_refusal
+from skylarkrack.relay._refusals import CrashSuspected, write_refusal
 from skylarkrack.web import ClientResponse, Request, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -148,11 +148,12 @@
         outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
         if self._responder.has_caller_left:
             raise RequestRefused("the caller has left", code=Code.CANCELLED, outcome=outcome)
+        segments = self.pending.shared_segments
         if self._context.crash_tracker.is_refused(
-            self.pending.fingerprint, monotonic_ms(), segments=self.pending.shared_segments
+            self.pending.fingerprint, monotonic_ms(), segments=segments
         ):
             code = Code.ENDPOINT_LOST if self._attempts.runs else Code.CRASH_SUSPECT
-            raise RequestRefused("endpoints died while this ran", code=code, outcome=outcome)
+            raise CrashSuspected(segments, code=code, outcome=outcome)
 
     def _begin_send(self) -> None:
         self._check_sendable()
@@ -304,7 +305,7 @@
         except LinkLost as error:
             self._record_lost_response(endpoint)
             raise _RetryRequest(str(error), was_sent=True, may_have_run=True) from error
-        if response.status < 300 and not classification.carries_proof:
+        if response.status < _REDIRECTION and not classification.carries_proof:
             self._context.dispatcher.health.record_failure(endpoint.key, monotonic_ms())
             raise _RetryRequest("an answer without proof", was_sent=True, may_have_run=True)
         left_ms = self._remaining_ms(monotonic_ms())
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -107,10 +107,10 @@
     ) -> None:
         """Record a refusal, or a response that broke off after it *has_begun*."""
         now_ms = monotonic_ms()
-        lost_fields = {}
-        if refusal.code is Code.ENDPOINT_LOST and self._pending.need is not None:
+        crash_fields = {}
+        if refusal.code in (Code.ENDPOINT_LOST, Code.CRASH_SUSPECT) and self._pending.need:
             # What lost requests have in common may be what crashes their endpoints.
-            lost_fields["segments"] = list(self._pending.shared_segments)
+            crash_fields["segments"] = list(self._pending.shared_segments)
         self._write(
             Event.RELAY_BROKEN if has_begun else Event.RELAY_REFUSED,
             now_ms - self._pending.call.arrived_ms,
@@ -120,7 +120,7 @@
             reason=str(refusal),
             sends=attempts.sends,
             runs_begun=attempts.runs,
-            **lost_fields,
+            **crash_fields,
         )
         if refusal.code is not Code.CANCELLED:
             self._context.burn.observe("answered", is_good=False, now_ms=now_ms)
--- a/src/skylarkrack/relay/_refusals.py
+++ b/src/skylarkrack/relay/_refusals.py
@@ -3,7 +3,7 @@
 import json
 from functools import singledispatch
 
-from skylarkrack._errors import HTTP_STATUS_BY_CODE, Code, RequestRefused
+from skylarkrack._errors import HTTP_STATUS_BY_CODE, Code, Outcome, RequestRefused
 from skylarkrack.core.relay import TableOrganisation
 from skylarkrack.web import Headers, Responder
 
@@ -27,6 +27,20 @@
         self.level = level
 
 
+class CrashSuspected(RequestRefused):
+    """Raised when a request, or segments of its prompt, are in quarantine after crashes."""
+
+    def __init__(
+        self,
+        segments: tuple[str, ...],
+        *,
+        code: Code = Code.CRASH_SUSPECT,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ) -> None:
+        super().__init__("endpoints died while this ran", code=code, outcome=outcome)
+        self.segments = segments
+
+
 @singledispatch
 def log_fields_of(refusal: RequestRefused) -> dict[str, object]:
     """Return further log fields of a refusal, beside its code and reason."""
@@ -46,6 +60,11 @@
     }
 
 
+@log_fields_of.register
+def _(refusal: CrashSuspected) -> dict[str, object]:
+    return {"segments": list(refusal.segments)}
+
+
 def write_refusal(responder: Responder, refusal: RequestRefused, headers: Headers = ()) -> None:
     """Respond with an error.
 
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -17,7 +17,12 @@
 from skylarkrack.relay._codec import IncomingRequest
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._exchange import Exchange
-from skylarkrack.relay._refusals import RateExceeded, log_fields_of, write_refusal
+from skylarkrack.relay._refusals import (
+    CrashSuspected,
+    RateExceeded,
+    log_fields_of,
+    write_refusal,
+)
 from skylarkrack.web import Request, Responder
 
 UNREADY_RETRY_MS = 500
@@ -114,7 +119,7 @@
         need = incoming.call.need
         segments = () if need is None else need.shared_segments
         if self._context.crash_tracker.is_refused(fingerprint, now_ms, segments=segments):
-            raise RequestRefused("endpoints died while this ran", code=Code.CRASH_SUSPECT)
+            raise CrashSuspected(segments)
         cost = 0.0 if organisation is None else self._take_quota(organisation, incoming, now_ms)
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
