Try the exchange of suspect segments between real entries

An entry that starts later refuses what the others do, and one that got an answer releases it for all: over datagrams, not only between trackers.

--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -226,6 +226,52 @@
         await until(lambda: not self.is_used(three))
 
 
+class TestSuspectSegments(unittest.IsolatedAsyncioTestCase):
+    """Entries that lost different requests at different crashes refuse what these share."""
+
+    async def start(self, vm: str, *seeds: str) -> RelayEntry:
+        """Start an entry."""
+        self.seed = settings(vm, *seeds)
+        started = entry(self.seed)
+        await started.start()
+        self.addAsyncCleanup(started.close)
+        return started
+
+    def lose(self, member: RelayEntry, number: int) -> None:
+        """Lose a request with the segment `deadly` at the crash of endpoint *number*."""
+        tracker, key = member._context.crash_tracker, (f"10.0.0.{number}:1", 1000)
+        segments = (f"other{number}", "deadly")
+        tracker.record_loss(b"%d" % number, key, monotonic_ms(), segments=segments)
+        tracker.record_crash(key, monotonic_ms())
+
+    def is_refused(self, member: RelayEntry, *segments: str) -> bool:
+        """Return whether the entry refuses a request with *segments*."""
+        tracker = member._context.crash_tracker
+        return tracker.is_refused(b"new", monotonic_ms(), segments=segments)
+
+    async def test_the_others_and_an_entry_that_starts_later_refuse_it(self) -> None:
+        one = await self.start("n1")
+        first_address = self.seed.peers
+        two = await self.start("n2", first_address)
+        await until(lambda: two.count_entries() == one.count_entries() == 2)
+        for number, member in enumerate((one, two, one)):
+            self.lose(member, number)
+        await until(lambda: self.is_refused(one, "deadly") and self.is_refused(two, "deadly"))
+        three = await self.start("n3", first_address)
+        await until(lambda: self.is_refused(three, "deadly"))
+        self.assertFalse(any(self.is_refused(member, "other1") for member in (one, two, three)))
+
+    async def test_an_entry_that_got_an_answer_releases_it_for_all(self) -> None:
+        one = await self.start("n1")
+        two = await self.start("n2", self.seed.peers)
+        await until(lambda: two.count_entries() == one.count_entries() == 2)
+        for number in range(3):
+            self.lose(one, number)
+        await until(lambda: self.is_refused(two, "deadly"))
+        two._context.crash_tracker.record_success(b"x", monotonic_ms(), segments=("deadly",))
+        await until(lambda: not self.is_refused(one, "deadly"))
+
+
 class TestAgent(unittest.IsolatedAsyncioTestCase):
     """An agent loads an adapter that a request waits for, and the request is then sent."""
 
