Name lost requests the same throughout the segment tracker

They were called rows, losses and crashes in turn. A loss is the id of a crash with the suspected segments of a request that was lost at it.

--- a/src/skylarkrack/core/relay/_segments.py
+++ b/src/skylarkrack/core/relay/_segments.py
@@ -44,7 +44,10 @@
 """
 
 Group = frozenset[str]
-"""Segments that are quarantined together."""
+"""Segments of one request, or those that are quarantined together."""
+
+Loss = tuple[int, Group]
+"""The id of a crash, and the suspected segments of a request that was lost at it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,7 +58,7 @@
     with the ms that are left, and *sound* are segments that others suspect in vain.
     """
 
-    losses: tuple[tuple[int, Group], ...]
+    losses: tuple[Loss, ...]
     quarantines: tuple[tuple[Group, float], ...]
     sound: tuple[str, ...]
 
@@ -74,8 +77,8 @@
 
     __slots__ = (
         "_disputed",
-        "_loss_ms_by_row",
-        "_own_rows",
+        "_lost_ms_by_loss",
+        "_own_losses",
         "_quarantine_by_group",
         "_quarantined",
         "_released",
@@ -85,11 +88,11 @@
     )
 
     def __init__(self) -> None:
-        self._loss_ms_by_row: OrderedDict[tuple[int, Group], float] = OrderedDict()
+        self._lost_ms_by_loss: OrderedDict[Loss, float] = OrderedDict()
         self._sound_ms_by_segment: OrderedDict[str, float] = OrderedDict()
         self._quarantine_by_group: OrderedDict[Group, _Quarantine] = OrderedDict()
-        # What the next reports hold.
-        self._own_rows: OrderedDict[tuple[int, Group], None] = OrderedDict()
+        # What the next reports hold, and how many are still to be sent.
+        self._own_losses: OrderedDict[Loss, None] = OrderedDict()
         self._disputed: OrderedDict[str, None] = OrderedDict()
         self._reports_left = 0
         self._reported_ms = float("-inf")
@@ -106,17 +109,17 @@
 
     def full_report(self, now_ms: float) -> SegmentReport | None:
         """Return the quarantines and the newest losses for a new entry; None without any."""
-        return self._report(list(self._loss_ms_by_row), (), now_ms)
+        return self._report(list(self._lost_ms_by_loss), (), now_ms)
 
     # Commands
 
     def record_crash(self, crash_id: int, segments: Iterable[str], now_ms: float) -> None:
         """Record that a request with *segments* was lost at a crash."""
-        row = (crash_id, self._without_sound(segments, now_ms))
-        if row[1] and self._add_loss(row, now_ms):
-            self._own_rows[row] = None
+        suspects = self._without_sound(segments, now_ms)
+        if suspects and self._add_loss((crash_id, suspects), now_ms):
+            self._own_losses[crash_id, suspects] = None
             self._reports_left = REPORT_REPEATS
-            if self._are_shared(row[1]):
+            if self._are_shared(suspects):
                 self._evaluate(now_ms)
 
     def record_sound(self, segments: Iterable[str], now_ms: float) -> None:
@@ -147,11 +150,11 @@
         """Return the report that is due now, or None."""
         if not self._reports_left or now_ms - self._reported_ms < REPORT_INTERVAL_MS:
             return None
-        report = self._report(list(self._own_rows), tuple(self._disputed), now_ms)
+        report = self._report(list(self._own_losses), tuple(self._disputed), now_ms)
         self._reported_ms = now_ms
         self._reports_left -= 1
         if not self._reports_left:
-            self._own_rows.clear()
+            self._own_losses.clear()
             self._disputed.clear()
         return report
 
@@ -161,14 +164,14 @@
         self._quarantined, self._released = [], []
         return changes
 
-    def _add_loss(self, row: tuple[int, Group], now_ms: float) -> bool:
+    def _add_loss(self, loss: Loss, now_ms: float) -> bool:
         """Store a loss and return whether it is new; renew the quarantines that it confirms."""
-        if row in self._loss_ms_by_row:
+        if loss in self._lost_ms_by_loss:
             return False
-        self._loss_ms_by_row[row] = now_ms
-        _drop_oldest(self._loss_ms_by_row, MAX_LOSSES)
+        self._lost_ms_by_loss[loss] = now_ms
+        _drop_oldest(self._lost_ms_by_loss, MAX_LOSSES)
         for group, quarantine in list(self._quarantine_by_group.items()):
-            if quarantine.until_ms <= now_ms and group <= row[1]:
+            if quarantine.until_ms <= now_ms and group <= loss[1]:
                 longer_ms = min(MAX_QUARANTINE_MS, 2 * quarantine.duration_ms)
                 self._quarantine(group, longer_ms, now_ms)
         return True
@@ -176,7 +179,7 @@
     def _are_shared(self, segments: Iterable[str]) -> bool:
         """Return whether any of *segments* was lost at so many crashes that it is a candidate."""
         return any(
-            len({crash_id for crash_id, lost in self._loss_ms_by_row if segment in lost})
+            len({crash_id for crash_id, lost in self._lost_ms_by_loss if segment in lost})
             >= QUARANTINE_CRASHES
             for segment in segments
         )
@@ -187,7 +190,7 @@
             groups = self._candidates(now_ms)
             for group in groups:
                 self._quarantine(group, QUARANTINE_MS, now_ms)
-                if any(group <= segments for _, segments in self._own_rows):
+                if any(group <= segments for _, segments in self._own_losses):
                     self._reports_left = REPORT_REPEATS
             if not groups:
                 break
@@ -197,19 +200,19 @@
 
         Of two groups with as many crashes the wider one is preferred, since it refuses less.
         """
-        rows = self._recent_rows(now_ms)
-        rows_by_segment: dict[str, list[tuple[int, Group]]] = {}
-        for crash_id, segments in self._unexplained(rows):
+        losses = self._recent_losses(now_ms)
+        losses_by_segment: dict[str, list[Loss]] = {}
+        for crash_id, segments in self._unexplained(losses):
             for segment in segments:
-                rows_by_segment.setdefault(segment, []).append((crash_id, segments))
+                losses_by_segment.setdefault(segment, []).append((crash_id, segments))
         crashes_by_group: dict[Group, int] = {}
-        for segment_rows in rows_by_segment.values():
-            crashes = len({crash_id for crash_id, _ in segment_rows})
+        for with_segment in losses_by_segment.values():
+            crashes = len({crash_id for crash_id, _ in with_segment})
             if crashes >= QUARANTINE_CRASHES:
-                group = frozenset.intersection(*(segments for _, segments in segment_rows))
+                group = frozenset.intersection(*(segments for _, segments in with_segment))
                 crashes_by_group[group] = max(crashes, crashes_by_group.get(group, 0))
         for known in self._quarantine_by_group:
-            explained = len({crash_id for crash_id, segments in rows if known <= segments})
+            explained = len({crash_id for crash_id, segments in losses if known <= segments})
             crashes_by_group = {
                 group: crashes
                 for group, crashes in crashes_by_group.items()
@@ -220,26 +223,26 @@
         widest = [group for group in leaders if not any(group < other for other in leaders)]
         return widest if len(widest) == 1 or most >= AMBIGUOUS_CRASHES else []
 
-    def _recent_rows(self, now_ms: float) -> list[tuple[int, Group]]:
+    def _recent_losses(self, now_ms: float) -> list[Loss]:
         """Return the losses that have not expired, without their sound segments."""
-        rows = [
+        losses = [
             (crash_id, self._without_sound(segments, now_ms))
-            for (crash_id, segments), lost_ms in self._loss_ms_by_row.items()
+            for (crash_id, segments), lost_ms in self._lost_ms_by_loss.items()
             if now_ms - lost_ms < LOSS_TTL_MS
         ]
-        return [row for row in rows if row[1]]
+        return [loss for loss in losses if loss[1]]
 
-    def _unexplained(self, rows: list[tuple[int, Group]]) -> list[tuple[int, Group]]:
-        """Return *rows* without the segments that a quarantined group excuses.
+    def _unexplained(self, losses: list[Loss]) -> list[Loss]:
+        """Return *losses* without the segments that a quarantined group clears of suspicion.
 
         A group explains a crash if a request with all of the group was lost there. The segments of
         groups with several members stay, since a group may have to be narrowed.
         """
         groups = list(self._quarantine_by_group)
-        explained = {crash_id for crash_id, s in rows if any(group <= s for group in groups)}
+        explained = {crash_id for crash_id, s in losses if any(group <= s for group in groups)}
         ambiguous = frozenset().union(*(group for group in groups if len(group) > 1))
-        left = [(i, s & ambiguous if i in explained else s) for i, s in rows]
-        return [row for row in left if row[1]]
+        left = [(i, s & ambiguous if i in explained else s) for i, s in losses]
+        return [loss for loss in left if loss[1]]
 
     def _quarantine(self, group: Group, duration_ms: float, now_ms: float) -> None:
         """Start or extend a quarantine; groups that contain *group* are not needed any more."""
@@ -278,16 +281,16 @@
             self._reports_left = REPORT_REPEATS
 
     def _report(
-        self, rows: list[tuple[int, Group]], sound: tuple[str, ...], now_ms: float
+        self, losses: list[Loss], sound: tuple[str, ...], now_ms: float
     ) -> SegmentReport | None:
         quarantines = tuple(
             (group, self._quarantine_by_group[group].until_ms - now_ms)
             for group in self._active(now_ms)[-MAX_REPORTED:]
         )
-        if not rows and not quarantines and not sound:
+        if not losses and not quarantines and not sound:
             return None
         return SegmentReport(
-            losses=tuple(rows[-MAX_REPORTED:]),
+            losses=tuple(losses[-MAX_REPORTED:]),
             quarantines=quarantines,
             sound=sound[-MAX_REPORTED:],
         )
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -481,8 +481,8 @@
     Guard(
         name="relay-segment-explained",
         file="core/relay/_segments.py",
-        code="left = [(i, s & ambiguous if i in explained else s) for i, s in rows]",
-        without="left = rows",
+        code="left = [(i, s & ambiguous if i in explained else s) for i, s in losses]",
+        without="left = losses",
         test="tests.test_relay_segments.TestEvidence.test_a_crash_that_is_explained_counts_for_nothing_else",
     ),
     Guard(
