Derive the shared segments of a prompt in one place

Cause: admission asked a need for them, and a pending request asked it again, each with its own check for a request without a model. Change: the property is the call's, which both have. A docstring is reworded.

--- a/src/skylarkrack/core/relay/_call.py
+++ b/src/skylarkrack/core/relay/_call.py
@@ -24,13 +24,6 @@
         """Model and adapter; the adapter is "" for the base model itself."""
         return self.model, self.adapter or ""
 
-    @property
-    def shared_segments(self) -> tuple[str, ...]:
-        """Ids of the segments that other requests may have too; the last one is the request's own,
-        or its session's.
-        """
-        return tuple(segment_id for segment_id, _ in self.prefix[:-1])
-
     @property
     def tokens(self) -> int:
         """Prompt tokens and output tokens together."""
@@ -53,6 +46,15 @@
     has_token_count: bool = False
     resume_after: str | None = None
 
+    @property
+    def shared_segments(self) -> tuple[str, ...]:
+        """Ids of the prompt's segments that other requests may have too.
+
+        The last segment is left out: it is the request's own, or its session's.
+        """
+        prefix = () if self.need is None else self.need.prefix
+        return tuple(segment_id for segment_id, _ in prefix[:-1])
+
     def deadline_ms(self, timeout_ms: float) -> float:
         """Return when the answer is due, on the clock of *arrived_ms*.
 
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -58,11 +58,6 @@
         """What the request needs of an engine; None for a plain request."""
         return self.call.need
 
-    @property
-    def shared_segments(self) -> tuple[str, ...]:
-        """Ids of the prompt's segments that other requests may have too."""
-        return () if self.need is None else self.need.shared_segments
-
     @property
     def queue_key(self) -> tuple[int, float]:
         """Sort key of the queue: priority, then the time at which the latency objective ends."""
--- a/src/skylarkrack/core/relay/_segments.py
+++ b/src/skylarkrack/core/relay/_segments.py
@@ -130,7 +130,7 @@
             self._evaluate(now_ms)
 
     def receive_report(self, report: SegmentReport, now_ms: float) -> None:
-        """Merge another entry's report; a crash counts once, whoever reports it."""
+        """Merge another entry's report; a crash that several entries report counts once."""
         is_narrowed, new_segments = False, set()
         for segment in report.sound:
             is_narrowed |= self._clear(segment, now_ms)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -148,7 +148,7 @@
         outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
         if self._responder.has_caller_left:
             raise RequestRefused("the caller has left", code=Code.CANCELLED, outcome=outcome)
-        segments = self.pending.shared_segments
+        segments = self.pending.call.shared_segments
         if self._context.crash_tracker.is_refused(
             self.pending.fingerprint, monotonic_ms(), segments=segments
         ):
@@ -338,7 +338,7 @@
                     health.record_response(endpoint.key, first_ms - head_ms, first_ms)
                 elif not has_survived and monotonic_ms() - first_ms >= SURVIVED_MS:
                     has_survived = True
-                    segments = self.pending.shared_segments
+                    segments = self.pending.call.shared_segments
                     self._context.crash_tracker.segments.record_sound(segments, monotonic_ms())
                 self._forward_events(response, whole)
         except (LinkLost, ValueError) as error:
@@ -373,7 +373,7 @@
             self.pending.fingerprint,
             endpoint.key,
             now_ms,
-            segments=self.pending.shared_segments,
+            segments=self.pending.call.shared_segments,
         )
         self._context.tasks.spawn(self._check_alive(endpoint))
 
@@ -393,7 +393,7 @@
 
     def _record_end(self, status: int, placement: SendTo) -> None:
         self.state = "ended"
-        segments = self.pending.shared_segments if status < _REDIRECTION else ()
+        segments = self.pending.call.shared_segments if status < _REDIRECTION else ()
         self._context.crash_tracker.record_success(
             self.pending.fingerprint, monotonic_ms(), segments=segments
         )
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -110,7 +110,7 @@
         crash_fields = {}
         if refusal.code in (Code.ENDPOINT_LOST, Code.CRASH_SUSPECT) and self._pending.need:
             # What lost requests have in common may be what crashes their endpoints.
-            crash_fields["segments"] = list(self._pending.shared_segments)
+            crash_fields["segments"] = list(self._pending.call.shared_segments)
         self._write(
             Event.RELAY_BROKEN if has_begun else Event.RELAY_REFUSED,
             now_ms - self._pending.call.arrived_ms,
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -116,8 +116,7 @@
         key_digest = None if incoming.key is None else digest_of_key(incoming.key)
         organisation = _organisation_for(table, route, key_digest)
         fingerprint = _fingerprint_of(request, organisation)
-        need = incoming.call.need
-        segments = () if need is None else need.shared_segments
+        segments = incoming.call.shared_segments
         if self._context.crash_tracker.is_refused(fingerprint, now_ms, segments=segments):
             raise CrashSuspected(segments)
         cost = 0.0 if organisation is None else self._take_quota(organisation, incoming, now_ms)
