--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -217,6 +217,16 @@
     return reply
 
 
+def once_set(event: asyncio.Event, then: Reply) -> Reply:
+    """Return a reply that sends *then* once *event* is set."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        await event.wait()
+        return await then(request, writer)
+
+    return reply
+
+
 def both(first: Reply, second: Reply) -> Reply:
     """Return a reply that sends *first* and then *second* as an unsolicited response.
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -11,6 +11,7 @@
     Reply,
     answer,
     both,
+    once_set,
     refusal,
     resumable,
     silence,
@@ -342,11 +343,7 @@
         # The endpoint refuses the request after its caller has left.
         may_refuse = asyncio.Event()
 
-        async def refuse_late(seen: object, writer: asyncio.StreamWriter) -> bool:
-            await may_refuse.wait()
-            return await refusal()(seen, writer)
-
-        workers = [PlatformWorker([refuse_late]), PlatformWorker([refuse_late])]
+        workers = [PlatformWorker([once_set(may_refuse, refusal())]) for _ in range(2)]
         async with EntryHarness(*workers) as harness:
             _, writer = await harness.connect()
             writer.write(request("/pay/1", method="POST", body=b"x"))
@@ -393,12 +390,7 @@
 
     async def test_a_pipelined_request_with_a_large_body_is_answered(self) -> None:
         may_continue = asyncio.Event()
-
-        async def slow(seen: object, writer: asyncio.StreamWriter) -> bool:
-            await may_continue.wait()
-            return await answer()(seen, writer)
-
-        worker = PlatformWorker([slow, answer()])
+        worker = PlatformWorker([once_set(may_continue, answer()), answer()])
         async with EntryHarness(worker) as harness:
             reader, writer = await harness.connect()
             writer.write(request(keep_alive=True))
@@ -421,12 +413,7 @@
 
     async def test_a_connection_closes_after_a_request_that_was_running(self) -> None:
         may_continue = asyncio.Event()
-
-        async def slow(seen: object, writer: asyncio.StreamWriter) -> bool:
-            await may_continue.wait()
-            return await answer()(seen, writer)
-
-        worker = PlatformWorker([slow, answer()])
+        worker = PlatformWorker([once_set(may_continue, answer()), answer()])
         async with EntryHarness(worker) as harness:
             reader, writer = await harness.connect()
             writer.write(request(request_id="r1", keep_alive=True))
