Log where an endpoint names a rate limit, or none any more

Ruled out: reading it from ENDPOINT_PAUSED, which is another header. Change: the head of an answer is decoded with its limit, and each entry logs RATE_LIMIT_CHANGED (733) and counts rate_limit_changes_total. Nothing is decided by it yet. Measured: the tests of heads and docs pass.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -80,6 +80,7 @@
     STORE_REWOUND = 730
     SEGMENTS_QUARANTINED = 731
     SEGMENTS_RELEASED = 732
+    RATE_LIMIT_CHANGED = 733
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -12,6 +12,7 @@
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 from skylarkrack.core.relay._placement import Candidate, PlacementContext, RankCache, candidates
 from skylarkrack.core.relay._policy import Policy
+from skylarkrack.core.relay._rate_limits import RateLimits
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
 
 MAX_CACHED_ADAPTERS = 100
@@ -149,6 +150,7 @@
         "domain",
         "health",
         "load",
+        "rate_limits",
         "table",
     )
 
@@ -159,6 +161,7 @@
         self.directory = EndpointDirectory()
         self.health = Health()
         self.load = LoadTracker()
+        self.rate_limits = RateLimits()
         self._missing_adapters_by_key: dict[EndpointKey, set[AdapterId]] = {}
         self._cached_by_address: dict[str, dict[AdapterId, None]] = {}
         self._state_by_key: dict[EndpointKey, EngineState] = {}
@@ -332,6 +335,7 @@
         """Drop the state of endpoints that are no longer in the directory."""
         keys = {endpoint.key for endpoint in self.directory.all()}
         self.health.keep_only(keys)
+        self.rate_limits.keep_only(keys)
         for by_key in (self._state_by_key, self._missing_adapters_by_key):
             for key in set(by_key) - keys:
                 del by_key[key]
--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the platform's headers between callers, entries and endpoints."""
 
+import math
 import re
 
 from skylarkrack._errors import Code, RequestRefused
@@ -29,6 +30,9 @@
 
 # "1" in all answers of an endpoint that is about to stop.
 _LEAVING = b"server-leaving"
+# Requests a second that the endpoint accepts from all VMs together, for as long as its answers name
+# a limit.
+_RATE_LIMIT = b"server-limit"
 # In a 503: seconds in which the endpoint wants no requests from this VM.
 _RETRY_AFTER = b"retry-after"
 
@@ -42,8 +46,8 @@
 # The expected version of the adapter, or of the model's weights where the request names no adapter.
 _VERSION = b"x-expect-version"
 
-# Other forms, such as dates, signs and exponents, ask for no pause.
-_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{0,9})?", re.ASCII)
+# Other forms, such as dates, signs and exponents, are invalid.
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,9})?", re.ASCII)
 
 _KEY_SCHEME = "token"
 _STATUS_MISDIRECTED = 421
@@ -176,6 +180,7 @@
             is_other_endpoint=is_other_endpoint,
             is_leaving=_header_value(headers, _LEAVING) == "1",
             pause_ms=_decode_pause_ms(status, _header_value(headers, _RETRY_AFTER)),
+            limit_per_s=decode_rate_limit(headers),
         )
 
     def headers_for_caller(self, headers: Headers) -> Headers:
@@ -233,12 +238,23 @@
     """Return the pause that a refusal asks for; None without a number of seconds above 0."""
     if status != _STATUS_UNAVAILABLE or retry_after is None:
         return None
-    if not _SECONDS.fullmatch(retry_after.strip()):
+    if not _DECIMAL.fullmatch(retry_after.strip()):
         return None
     pause_ms = float(retry_after) * 1000
     return min(pause_ms, MAX_PAUSE_MS) if pause_ms > 0 else None
 
 
+def decode_rate_limit(headers: Headers) -> float | None:
+    """Return the requests a second that an endpoint accepts, infinity if *headers* name no limit.
+
+    The lowest counts if there are several. Returns None if none of them is a decimal number.
+    """
+    values = [value.decode("latin-1").strip() for name, value in headers if name == _RATE_LIMIT]
+    if not values:
+        return math.inf
+    return min((float(value) for value in values if _DECIMAL.fullmatch(value)), default=None)
+
+
 def _connection_options(headers: Headers) -> frozenset[bytes]:
     """Return the names in `Connection`, whose headers concern this connection only."""
     values = [value for name, value in headers if name == b"connection"]
--- a/src/skylarkrack/relay/_codec.py
+++ b/src/skylarkrack/relay/_codec.py
@@ -1,5 +1,6 @@
 """Interface of the codec between the relay and the protocol of callers and endpoints."""
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,6 +50,8 @@
     *is_other_endpoint* is True where another endpoint, or another incarnation of it, now has
     the address. *is_leaving* is True where the endpoint states that it is about to stop.
     *pause_ms* is the time for which the endpoint wants no requests from this VM, or None.
+    *limit_per_s* is the rate of requests that the endpoint accepts from all VMs together, infinity
+    if the response names no limit, or None if it names an invalid one.
     """
 
     was_not_run: bool
@@ -57,6 +60,7 @@
     is_other_endpoint: bool
     is_leaving: bool = False
     pause_ms: float | None = None
+    limit_per_s: float | None = math.inf
 
 
 class RelayCodec(Protocol):
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -259,6 +259,8 @@
             health = self._context.dispatcher.health
             health.record_pause(endpoint.key, classification.pause_ms, now_ms)
             self._log.endpoint_paused(endpoint, classification.pause_ms)
+        if classification.limit_per_s is not None and not classification.is_other_endpoint:
+            self._record_rate_limit(endpoint, classification)
         if classification.was_not_run:
             await self._handle_not_run(response, endpoint, classification)
         is_success = response.status < _SERVER_ERROR
@@ -273,6 +275,14 @@
             health.record_failure(endpoint.key, now_ms)
         await self._forward_whole(response, placement, classification)
 
+    def _record_rate_limit(
+        self, endpoint: Endpoint, classification: ResponseClassification
+    ) -> None:
+        """Record the rate limit that the endpoint names, or that it names none any more."""
+        limits = self._context.dispatcher.rate_limits
+        if limits.record_answer(endpoint.key, classification.limit_per_s):
+            self._log.rate_limit_changed(endpoint, classification.limit_per_s)
+
     async def _handle_not_run(
         self, response: ClientResponse, endpoint: Endpoint, classification: ResponseClassification
     ) -> None:
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -1,5 +1,7 @@
 """Log lines and metrics of one forwarded request."""
 
+import math
+
 from skylarkrack._burn import FIRST_TOKEN_OBJECTIVE_MS
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, RequestRefused
@@ -74,6 +76,16 @@
         )
         self._context.metrics.count("pauses_total", self._pending.service_name)
 
+    def rate_limit_changed(self, endpoint: Endpoint, limit_per_s: float) -> None:
+        """Record that an endpoint names another limit of requests a second, or none any more."""
+        log(
+            Event.RATE_LIMIT_CHANGED,
+            request=self._pending.call.request_id,
+            endpoint=endpoint.endpoint_id,
+            limit_per_s=None if math.isinf(limit_per_s) else limit_per_s,
+        )
+        self._context.metrics.count("rate_limit_changes_total", self._pending.service_name)
+
     def events_forwarded(self) -> None:
         """Record that events of a stream were forwarded to the caller."""
         now_ms = monotonic_ms()
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,5 +1,6 @@
 """Heads of endpoints' responses: leaving endpoints, and pauses of every form."""
 
+import math
 import unittest
 
 from skylarkrack.platform._headers import MAX_PAUSE_MS, PlatformCodec
@@ -33,3 +34,28 @@
         for value, is_leaving in ((b"1", True), (b"0", False), (b"yes", False)):
             head = PlatformCodec().classify_response(200, [(b"server-leaving", value)], "i-1")
             self.assertEqual(head.is_leaving, is_leaving)
+
+
+class TestRateLimits(unittest.TestCase):
+    """Limits of requests a second, of every form."""
+
+    def limit_per_s(self, *values: bytes) -> float | None:
+        """Return the limit in a response with these `Server-Limit` headers."""
+        headers = [(b"server-limit", value) for value in values]
+        return PlatformCodec().classify_response(200, headers, "i-1").limit_per_s
+
+    def test_decimal_numbers(self) -> None:
+        for value, limit in ((b"0", 0.0), (b"0.25", 0.25), (b" 1.6 ", 1.6), (b"50", 50.0)):
+            with self.subTest(value=value):
+                self.assertEqual(self.limit_per_s(value), limit)
+
+    def test_no_limit(self) -> None:
+        self.assertEqual(self.limit_per_s(), math.inf)
+
+    def test_an_invalid_limit_says_nothing(self) -> None:
+        for value in (b"", b"-1", b"1e9", b"nan", b"inf", b"two", b"1,2"):
+            with self.subTest(value=value):
+                self.assertIsNone(self.limit_per_s(value))
+
+    def test_the_lowest_of_several_counts(self) -> None:
+        self.assertEqual(self.limit_per_s(b"3", b"x", b"2"), 2.0)
