Keep the rate limit of an endpoint over all entries and its agent

Cause: the limit in answers was not read, so every entry and agent went on. The class: a bound that many senders share and each would keep alone. Ruled out: a bucket or share for each entry (68 entries: 68 requests at once); as many senders as the limit has whole requests, tried in the test's simulation: with 68 entries the sender has 1/68 of the demand, and the end of the limit was not noticed within 10 s. Change: one entry for each endpoint, its home by rendezvous order, spaces the requests; others ask it for permits. Agents keep a quarter of the limit for orders. The right to send is taken as the request is written. Three guards fail their tests when taken out.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -48,6 +48,7 @@
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._quota_limiter import QuotaLimiter
+from skylarkrack.core.relay._rate_limits import OrderPace, RateLimitReport, RateLimits
 from skylarkrack.core.relay._segments import SegmentReport, SegmentTracker
 from skylarkrack.core.relay._store_feed import (
     FeedHistory,
@@ -106,6 +107,7 @@
     "ModelShape",
     "AdapterId",
     "OrderKind",
+    "OrderPace",
     "OrderResult",
     "OutcomeCounts",
     "EngineCapacity",
@@ -119,6 +121,8 @@
     "StepUse",
     "TablePublished",
     "PendingRequest",
+    "RateLimitReport",
+    "RateLimits",
     "Refuse",
     "QuotaLimiter",
     "WaitFor",
--- a/src/skylarkrack/core/relay/_adapter_scheduler.py
+++ b/src/skylarkrack/core/relay/_adapter_scheduler.py
@@ -9,6 +9,7 @@
 broadcast and has no run there. An entry that needs the adapter in the meantime ends its retirement.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -114,7 +115,7 @@
 
     *started_ms* identifies the engine's incarnation; *sequence* grows with every order carried out.
     With *is_busy* the engine gets no order. *resident* and *loading* map (model, adapter) to a
-    version.
+    version. *limit_per_s* is the rate of requests that the engine accepts, or infinity.
     """
 
     started_ms: int
@@ -122,6 +123,7 @@
     is_busy: bool
     resident: dict[AdapterId, int]
     loading: dict[AdapterId, int]
+    limit_per_s: float = math.inf
 
 
 @dataclass(slots=True)
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -161,7 +161,7 @@
         self.directory = EndpointDirectory()
         self.health = Health()
         self.load = LoadTracker()
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(has_agent=self._has_agent)
         self._missing_adapters_by_key: dict[EndpointKey, set[AdapterId]] = {}
         self._cached_by_address: dict[str, dict[AdapterId, None]] = {}
         self._state_by_key: dict[EndpointKey, EngineState] = {}
@@ -175,6 +175,10 @@
         """Return how many requests are queued."""
         return len(self._waiting)
 
+    def awaited_keys(self) -> set[EndpointKey]:
+        """Return the endpoints that queued requests wait for."""
+        return {request.waiting_at for request in self._waiting}
+
     def is_awaited(self, state: EngineState) -> bool:
         """Return whether a queued request needs an adapter that *state* has as resident."""
         return any(
@@ -184,7 +188,9 @@
 
     def decide(self, request: PendingRequest, now_ms: float) -> Decision:
         """Return the decision about one request."""
-        return self._decide(request, self._placement_context(now_ms))
+        context = self._placement_context(now_ms)
+        context.queued_by_key.update(waiting.waiting_at for waiting in self._waiting)
+        return self._decide(request, context)
 
     def _decide(self, request: PendingRequest, context: PlacementContext) -> Decision:
         service = self.table.service_by_name.get(request.service_name)
@@ -315,6 +321,7 @@
             decision = self._decide(request, context)
             if isinstance(decision, WaitFor):
                 request.waiting_at = decision.key
+                context.queued_by_key[decision.key] += 1
                 continue
             self.remove_waiting(request)
             return request, decision
@@ -370,6 +377,7 @@
         return PlacementContext(
             health=self.health,
             load=self.load,
+            rate_limits=self.rate_limits,
             state_by_key=self._state_by_key,
             version_by_adapter=self._version_by_adapter,
             missing_adapters_by_key=self._missing_adapters_by_key,
@@ -403,6 +411,10 @@
             )
         return WaitFor(key=best.endpoint.key, cost_ms=best.cost_ms)
 
+    def _has_agent(self, key: EndpointKey) -> bool:
+        endpoint = next((e for e in self.directory.all() if e.key == key), None)
+        return endpoint is not None and self.shape_of(endpoint) is not None
+
     def _send_to(self, candidate: Candidate, now_ms: float) -> SendTo:
         key = candidate.endpoint.key
         state = self._state_by_key.get(key)
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -6,6 +6,7 @@
 the first costs more than a load.
 """
 
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from functools import singledispatch
@@ -18,6 +19,7 @@
 from skylarkrack.core.relay._health import Health
 from skylarkrack.core.relay._load import PREFILL_WINDOW_MS, EngineState, LoadTracker
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
+from skylarkrack.core.relay._rate_limits import RateLimits
 from skylarkrack.core.relay._table import EngineShape, Service
 
 COLD_LOAD_MS = 300.0
@@ -69,6 +71,9 @@
 NO_FREE_SLOT_COST_MS = 600.0
 """Wait for the end of a run at an engine whose adapter slots are all in use."""
 
+ORDERS_PER_LOAD = 2
+"""Orders by which an engine with full adapter slots gets an adapter: an unload and the load."""
+
 MISSING_COST_MS = 500.0
 """Cost of an endpoint that may have left while the registry was unreachable, so that others are
 preferred."""
@@ -141,10 +146,12 @@
 
     *reserved_tokens_by_key* are prompt tokens of this entry's overdue requests: those that arrived
     at least one prefill window ago. *generation* identifies the endpoints that may get work.
+    *queued_by_key* counts the requests that wait for an endpoint before the one that is placed.
     """
 
     health: Health
     load: LoadTracker
+    rate_limits: RateLimits
     state_by_key: dict[EndpointKey, EngineState]
     version_by_adapter: dict[AdapterId, int]
     missing_adapters_by_key: dict[EndpointKey, set[AdapterId]]
@@ -158,6 +165,11 @@
     now_ms: float
     ranks: "RankCache"
     condition_by_key: dict[EndpointKey, "_EngineCondition"] = field(default_factory=dict)
+    queued_by_key: Counter[EndpointKey] = field(default_factory=Counter)
+
+    def rate_wait_ms(self, key: EndpointKey) -> float:
+        """Return the wait for the endpoint's rate limit in ms."""
+        return self.rate_limits.wait_ms(key, self.now_ms, queued=self.queued_by_key[key])
 
 
 @dataclass(slots=True)
@@ -267,8 +279,11 @@
     if is_backing_off:
         cost_ms += BACKOFF_COST_MS
     pause_ms = context.health.pause_left_ms(endpoint.key, context.now_ms)
-    cost_ms += pause_ms
-    is_ready = not is_backing_off and not pause_ms and runs < 2 * max(1, endpoint.slots)
+    wait_ms = context.rate_wait_ms(endpoint.key)
+    cost_ms += pause_ms + wait_ms
+    is_ready = (
+        not is_backing_off and not pause_ms and not wait_ms and runs < 2 * max(1, endpoint.slots)
+    )
     return Candidate(endpoint, cost_ms, is_ready, runs)
 
 
@@ -331,7 +346,13 @@
             prefill_tokens + need.prompt_tokens - PREFILL_LIMIT_TOKENS
         ) / PREFILL_TOKENS_PER_MS
         is_ready = False
+    wait_ms = context.rate_wait_ms(endpoint.key)
+    if wait_ms:
+        cost_ms += wait_ms
+        is_ready = False
     version, load_ms = _adapter_state(endpoint, condition.state, shape, need, context)
+    if version is None:
+        load_ms += context.rate_limits.orders_ms(endpoint.key, ORDERS_PER_LOAD)
     return Candidate(
         endpoint,
         cost_ms + load_ms,
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -463,3 +463,34 @@
     losses: list
     quarantines: list
     sound: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointRateLimits:
+    """Limits of requests a second that endpoints name in their answers, in a datagram.
+
+    *limits* holds rows of [address, start in ms, requests a second or None for no limit any more,
+    age in ms of the answer that showed it, requests that the entry sent shortly before it].
+    """
+
+    vm: str
+    address: str
+    domain: str
+    passes_on: bool
+    limits: list
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendPermits:
+    """Questions for permits to send to rate-limited endpoints, and answers, in a datagram.
+
+    *asked* holds rows of [address, start in ms], *answers* rows of [address, start in ms, whether a
+    request may be sent, ms until the next one is due].
+    """
+
+    vm: str
+    address: str
+    domain: str
+    passes_on: bool
+    asked: list
+    answers: list
--- a/src/skylarkrack/platform/_engine.py
+++ b/src/skylarkrack/platform/_engine.py
@@ -1,10 +1,12 @@
 """HTTP client of the model engine on an agent's VM."""
 
 import json
+from dataclasses import replace
 
 from skylarkrack._errors import LinkLost
 from skylarkrack.core.relay import EngineOrder, EngineReport, OrderResult
 from skylarkrack.platform._documents import DocumentRejected, decode_report
+from skylarkrack.platform._headers import decode_rate_limit
 from skylarkrack.web import HttpClient
 
 REPORT_TIMEOUT_MS = 1000.0
@@ -49,9 +51,11 @@
         if response.status != 200:
             raise LinkLost(f"the engine's report has status {response.status}", sent=True)
         try:
-            return decode_report(body)
+            report = decode_report(body)
         except DocumentRejected as error:
             raise LinkLost(f"the engine's report is invalid: {error}", sent=True) from error
+        limit_per_s = decode_rate_limit(response.headers)
+        return report if limit_per_s is None else replace(report, limit_per_s=limit_per_s)
 
     async def order(
         self, order: EngineOrder, *, endpoint_id: str, holder: str, fence: int
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -1,6 +1,7 @@
 """The agent beside one engine; no other process sends orders to that engine."""
 
 import asyncio
+import math
 
 from skylarkrack._burn import BurnMeter
 from skylarkrack._clock import monotonic_ms
@@ -17,12 +18,14 @@
     EngineCapacity,
     EngineOrder,
     EngineReport,
+    OrderPace,
     ProcessContact,
     WaitingRequests,
     heartbeat_interval_ms,
 )
-from skylarkrack.messages import AdapterDemand, EngineHeartbeat, EngineSnapshot
+from skylarkrack.messages import AdapterDemand, EndpointRateLimits, EngineHeartbeat, EngineSnapshot
 from skylarkrack.relay._peers import ENTRY, Peers
+from skylarkrack.relay._rate_limit_exchange import log_change, reports_from
 from skylarkrack.relay._registry import EnginePort
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.web import ServerLimits
@@ -55,6 +58,7 @@
         "_full_sent_ms",
         "_incarnation",
         "_metrics",
+        "_pace",
         "_peers",
         "_poll_now",
         "_registration",
@@ -85,6 +89,7 @@
         self._status_server = StatusServer(sources, limits=ServerLimits())
         self._tasks = Tasks()
         self._scheduler = AdapterScheduler(fence=fence)
+        self._pace = OrderPace()
         self._peers = Peers(settings, AGENT, on_message=self._on_message, on_join=self._on_join)
         self._registration: tuple[int, str] | None = None
         self._sequence = 0
@@ -132,6 +137,8 @@
     def _on_message(self, message: object, now_ms: float) -> None:
         if isinstance(message, AdapterDemand):
             self._receive_demand(message, now_ms)
+        elif isinstance(message, EndpointRateLimits):
+            self._receive_rate_limits(message, now_ms)
 
     def _on_join(self, contact: ProcessContact) -> None:
         """Send a new entry a snapshot at once."""
@@ -164,6 +171,15 @@
         if message.wanted or self._scheduler.is_retiring():
             self._poll_now.set()
 
+    def _receive_rate_limits(self, message: EndpointRateLimits, now_ms: float) -> None:
+        report = self._scheduler.report
+        if report is None:
+            return
+        key = (self._settings.engine, report.started_ms)
+        for told in reports_from(message):
+            if told.key == key and self._pace.set_limit(told.limit_per_s, now_ms):
+                log_change(key, told.limit_per_s, peer=message.vm)
+
     # Polling the engine
 
     async def _run_engine(self) -> None:
@@ -185,17 +201,24 @@
         """Read a report, send changes to the entries, and send the order that is due."""
         report = await self._engine.report()
         now_ms = monotonic_ms()
+        known = self._scheduler.report
+        if known is not None and known.started_ms != report.started_ms:
+            self._pace = OrderPace()
         self._scheduler.apply_report(report, now_ms)
         is_registered = (
             self._registration is not None and self._registration[0] == report.started_ms
         )
-        order = self._scheduler.next_order(now_ms) if is_registered else None
+        if not math.isinf(report.limit_per_s) and self._pace.set_limit(report.limit_per_s, now_ms):
+            log_change((self._settings.engine, report.started_ms), report.limit_per_s, peer="")
+        may_order = is_registered and self._pace.is_due(now_ms)
+        order = self._scheduler.next_order(now_ms) if may_order else None
         self._advertise(report, now_ms)
         if order is not None:
             await self._send_order(order, self._registration[1])
 
     async def _send_order(self, order: EngineOrder, endpoint_id: str) -> None:
         started_ms = monotonic_ms()
+        self._pace.record_order(started_ms)
         result = await self._engine.order(
             order, endpoint_id=endpoint_id, holder=self._settings.vm, fence=self._scheduler.fence
         )
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -95,7 +95,7 @@
             settings, context=self._context, config_sync=self._config_sync, incarnation=incarnation
         )
         self._config_sync.request_read = self._gossip.feed.request_read
-        self._context.placement_queue.on_wait = self._gossip.send_demand_now
+        self._context.placement_queue.on_wait = self._gossip.announce_waiting
         self._context.placement_queue.on_leaving = self._gossip.announce_leaving
         self._caller_server = self._make_server(
             self._request_handler.handle, "callers", connections=MAX_CONNECTIONS
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -1,6 +1,7 @@
 """Forwarding of one request to an endpoint, with retries, and of its response to the caller."""
 
 import asyncio
+import math
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
@@ -155,8 +156,11 @@
             code = Code.ENDPOINT_LOST if self._attempts.runs else Code.CRASH_SUSPECT
             raise CrashSuspected(segments, code=code, outcome=outcome)
 
-    def _begin_send(self) -> None:
+    def _begin_send(self, endpoint: Endpoint) -> None:
         self._check_sendable()
+        if not self._context.dispatcher.rate_limits.try_send(endpoint.key, monotonic_ms()):
+            # The limit became known, or was used up, after the request was placed.
+            raise _RetryRequest("rate limit", was_sent=False, may_have_run=False)
         self.state = "sent"
 
     async def _place(self) -> SendTo:
@@ -215,7 +219,7 @@
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 max_idle_ms=None if route.is_idempotent else MAX_IDLE_NOT_REPEATABLE_MS,
                 is_own=self._is_own_response,
-                before_send=self._begin_send,
+                before_send=lambda: self._begin_send(endpoint),
             )
         except LinkLost as error:
             now_ms = monotonic_ms()
@@ -259,8 +263,7 @@
             health = self._context.dispatcher.health
             health.record_pause(endpoint.key, classification.pause_ms, now_ms)
             self._log.endpoint_paused(endpoint, classification.pause_ms)
-        if classification.limit_per_s is not None and not classification.is_other_endpoint:
-            self._record_rate_limit(endpoint, classification)
+        self._record_rate_limit(endpoint, classification)
         if classification.was_not_run:
             await self._handle_not_run(response, endpoint, classification)
         is_success = response.status < _SERVER_ERROR
@@ -279,9 +282,21 @@
         self, endpoint: Endpoint, classification: ResponseClassification
     ) -> None:
         """Record the rate limit that the endpoint names, or that it names none any more."""
+        limit_per_s = classification.limit_per_s
+        is_known_sender = classification.carries_proof or classification.was_not_run
+        if limit_per_s is None or classification.is_other_endpoint:
+            return
+        if math.isinf(limit_per_s) and not is_known_sender:
+            return
         limits = self._context.dispatcher.rate_limits
-        if limits.record_answer(endpoint.key, classification.limit_per_s):
-            self._log.rate_limit_changed(endpoint, classification.limit_per_s)
+        has_changed = limits.record_answer(
+            endpoint.key,
+            limit_per_s,
+            sent_ms=self._sent_ms,
+            now_ms=monotonic_ms(),
+        )
+        if has_changed:
+            self._log.rate_limit_changed(endpoint, limit_per_s)
 
     async def _handle_not_run(
         self, response: ClientResponse, endpoint: Endpoint, classification: ResponseClassification
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -27,16 +27,19 @@
 )
 from skylarkrack.messages import (
     AdapterDemand,
+    EndpointRateLimits,
     EngineHeartbeat,
     EngineSnapshot,
     LeavingEndpoints,
     RelayState,
+    SendPermits,
     StoreStep,
     SuspectSegments,
 )
 from skylarkrack.relay._config_sync import ConfigSync
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._peers import ENTRY, Peers
+from skylarkrack.relay._rate_limit_exchange import RateLimitExchange
 from skylarkrack.relay._segment_reports import SegmentReports
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.relay._store_feed import StoreFeed
@@ -83,6 +86,7 @@
         "_incarnation",
         "_last_received_by_endpoint",
         "_peers",
+        "_rate_limits",
         "_segment_reports",
         "_last_complete_grants",
         "_leaving_due_by_key",
@@ -115,6 +119,7 @@
         self._segment_reports = SegmentReports(
             self._peers, crash_tracker=context.crash_tracker, metrics=context.metrics
         )
+        self._rate_limits = RateLimitExchange(self._peers, limits=context.dispatcher.rate_limits)
         # Broadcasts left and the time of the next one, for each leaving endpoint.
         self._leaving_due_by_key: dict[EndpointKey, tuple[int, float]] = {}
         self._agent_address_by_endpoint: dict[str, str] = {}
@@ -164,15 +169,22 @@
             self.feed.receive(message)
         elif isinstance(message, SuspectSegments):
             self._segment_reports.receive(message, now_ms)
+        elif isinstance(message, EndpointRateLimits):
+            self._rate_limits.receive(message, now_ms)
+        elif isinstance(message, SendPermits) and self._rate_limits.receive_permits(
+            message, now_ms
+        ):
+            self._context.placement_queue.wake()
 
     def _on_join(self, contact: ProcessContact) -> None:
-        """Send a new entry the endpoints that are leaving and the segments that are refused."""
+        """Send a new entry what is known of leaving endpoints, segments and rate limits."""
         if contact.role != ENTRY:
             return
         keys = self._context.dispatcher.directory.leaving_keys()
         if keys:
             self._peers.send(self._leaving_message(keys), contact.address)
         self._segment_reports.send_all(contact.address, monotonic_ms())
+        self._rate_limits.send_all(contact.address, monotonic_ms())
 
     def _receive_leaving(self, message: LeavingEndpoints) -> None:
         for address, started_ms in message.endpoints:
@@ -266,6 +278,8 @@
         self._send_due_demands(now_ms)
         self._broadcast_leaving(now_ms)
         self._segment_reports.send_due(now_ms)
+        self._rate_limits.send_due(self._agent_address_by_endpoint, now_ms)
+        self._rate_limits.ask(self._context.dispatcher.awaited_keys(), now_ms)
         self._peers.probe_silent(now_ms)
 
     def _broadcast_state(self, now_ms: float) -> None:
@@ -333,6 +347,11 @@
             if now_ms - sent_ms >= interval_ms - TICK_MS / 2:
                 self._send_demand(endpoint, now_ms)
 
+    def announce_waiting(self, key: EndpointKey) -> None:
+        """Tell the processes that can let a request proceed that it waits for an endpoint."""
+        self.send_demand_now(key)
+        self._rate_limits.ask([key], monotonic_ms())
+
     def send_demand_now(self, key: EndpointKey) -> None:
         """Send the agent of an engine at once which adapters are used and waited for there."""
         for endpoint in self._context.dispatcher.directory.all():
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -7,11 +7,13 @@
 from skylarkrack.core.relay import AGENT, Membership, ProcessContact, broadcast_recipients
 from skylarkrack.messages import (
     AdapterDemand,
+    EndpointRateLimits,
     EngineHeartbeat,
     EngineSnapshot,
     LeavingEndpoints,
     RelayState,
     Roster,
+    SendPermits,
     StoreStep,
     SuspectSegments,
 )
@@ -27,10 +29,17 @@
     LeavingEndpoints: ENTRY,
     StoreStep: ENTRY,
     SuspectSegments: ENTRY,
+    EndpointRateLimits: ENTRY,
+    SendPermits: ENTRY,
 }
-_BROADCAST_TYPES = (RelayState, EngineSnapshot, EngineHeartbeat, LeavingEndpoints, SuspectSegments)
-
-Broadcast = RelayState | EngineSnapshot | EngineHeartbeat | LeavingEndpoints | SuspectSegments
+Broadcast = (
+    RelayState
+    | EngineSnapshot
+    | EngineHeartbeat
+    | LeavingEndpoints
+    | SuspectSegments
+    | EndpointRateLimits
+)
 
 
 class Peers:
@@ -137,7 +146,7 @@
         )
         self._record_member(sender, now_ms)
         # Only what comes directly from its sender is forwarded, so that messages do not loop.
-        if source == sender.address and isinstance(message, _BROADCAST_TYPES):
+        if source == sender.address and isinstance(message, Broadcast):
             self._forward_in_domain(sender, data)
         self._on_message(message, now_ms)
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -520,4 +520,25 @@
         without="held = _registered(endpoint, need)",
         test="tests.test_relay_dispatch.TestPlacement.test_a_registration_that_the_engine_denies",
     ),
+    Guard(
+        name="relay-rate-limit-recheck",
+        file="relay/_exchange.py",
+        code="if not self._context.dispatcher.rate_limits.try_send(endpoint.key, monotonic_ms()):",
+        without="if False:",
+        test="tests.test_relay_rate_limits.TestOneEntry.test_requests_that_were_placed_while_the_limit_was_free",
+    ),
+    Guard(
+        name="relay-rate-limit-home",
+        file="core/relay/_rate_limits.py",
+        code="        if limit.home != self._own:\n            return False, limit.interval_ms\n",
+        without="",
+        test="tests.test_relay_rate_limits.TestPermits.test_only_the_home_grants",
+    ),
+    Guard(
+        name="relay-rate-limit-overtaken",
+        file="core/relay/_rate_limits.py",
+        code="(limit is None or sent_ms <= limit.observed_ms)",
+        without="limit is None",
+        test="tests.test_relay_rate_limits.TestLimits.test_an_answer_that_was_overtaken_does_not_end_it",
+    ),
 )
