Count requests that wait at other entries for a rate-limited endpoint

An entry expected to wait for its own queue only, so where limits bind everywhere requests queued at all entries for turns that never came. Change: askers tell the home how many requests wait, and the home tells how many wait elsewhere. What can't be sent before its deadline is refused at once.

--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -1,5 +1,6 @@
 """Decides which endpoint a request is sent to, what it waits for, or that it is refused."""
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 
@@ -175,9 +176,9 @@
         """Return how many requests are queued."""
         return len(self._waiting)
 
-    def awaited_keys(self) -> set[EndpointKey]:
-        """Return the endpoints that queued requests wait for."""
-        return {request.waiting_at for request in self._waiting}
+    def waiting_by_key(self) -> Counter[EndpointKey]:
+        """Return how many queued requests wait for each endpoint."""
+        return Counter(request.waiting_at for request in self._waiting)
 
     def is_awaited(self, state: EngineState) -> bool:
         """Return whether a queued request needs an adapter that *state* has as resident."""
@@ -189,7 +190,7 @@
     def decide(self, request: PendingRequest, now_ms: float) -> Decision:
         """Return the decision about one request."""
         context = self._placement_context(now_ms)
-        context.queued_by_key.update(waiting.waiting_at for waiting in self._waiting)
+        context.queued_by_key.update(self.waiting_by_key())
         return self._decide(request, context)
 
     def _decide(self, request: PendingRequest, context: PlacementContext) -> Decision:
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -352,7 +352,8 @@
         is_ready = False
     version, load_ms = _adapter_state(endpoint, condition.state, shape, need, context)
     if version is None:
-        load_ms += context.rate_limits.orders_ms(endpoint.key, ORDERS_PER_LOAD)
+        loads = 1 + len(context.wanted_by_key.get(endpoint.key, ()))
+        load_ms += context.rate_limits.orders_ms(endpoint.key, ORDERS_PER_LOAD * loads)
     return Candidate(
         endpoint,
         cost_ms + load_ms,
--- a/src/skylarkrack/core/relay/_rate_limits.py
+++ b/src/skylarkrack/core/relay/_rate_limits.py
@@ -42,6 +42,9 @@
 ANSWER_TIMEOUT_MS = 200.0
 """Time after which a home that does not answer counts as lost."""
 
+WAITING_TTL_MS = 500.0
+"""Time beyond an interval after which an entry that asked no more counts as not waiting."""
+
 LOST_HOME_WAIT_MS = 3000.0
 """Expected wait while an endpoint's home does not answer: as long as it takes to replace it."""
 
@@ -78,7 +81,8 @@
     *share* is the part of the limit that is left for requests. *next_ms* is when the next request
     is due; entries other than the *home* only know what that told them last. *permits* holds
     the times at which unused permits expire. *asked_ms* is the first question to the home since its
-    last answer.
+    last answer. *waiting_by_entry* holds how many requests other entries had waiting and when they
+    said so, which only the home knows; it tells others the sum as *ahead*.
     """
 
     limit_per_s: float
@@ -93,6 +97,8 @@
     reports_left: int = 0
     reported_ms: float = float("-inf")
     recent_by_entry: dict[str, int] = field(default_factory=dict)
+    waiting_by_entry: dict[str, tuple[int, float]] = field(default_factory=dict)
+    ahead: int = 0
 
     @property
     def is_in_force(self) -> bool:
@@ -110,6 +116,15 @@
         settling_ms = min(MAX_SETTLING_MS, max(0.0, paid_after_ms - RECENT_MS))
         self.next_ms = max(self.next_ms, self.learned_ms + settling_ms)
 
+    def waiting_elsewhere(self, entry: str, now_ms: float) -> int:
+        """Return how many requests wait at other entries than *entry* and the home."""
+        oldest_ms = now_ms - self.interval_ms - WAITING_TTL_MS
+        return sum(
+            count
+            for vm, (count, told_ms) in self.waiting_by_entry.items()
+            if vm != entry and told_ms >= oldest_ms
+        )
+
     def drop_expired(self, now_ms: float) -> None:
         """Drop the permits that were not used in time."""
         while self.permits and self.permits[0] <= now_ms:
@@ -150,9 +165,13 @@
         queued -= len(limit.permits)
         if queued < 0:
             return 0.0
-        wait_ms = max(0.0, limit.next_ms - now_ms) + queued * limit.interval_ms
+        due_ms = max(0.0, limit.next_ms - now_ms)
         if limit.home == self._own:
-            return wait_ms
+            if not due_ms and not queued:
+                return 0.0
+            queued += limit.waiting_elsewhere(self._own, now_ms)
+            return due_ms + queued * limit.interval_ms
+        wait_ms = due_ms + (queued + limit.ahead) * limit.interval_ms
         is_lost = now_ms - limit.asked_ms >= ANSWER_TIMEOUT_MS
         return max(LOST_HOME_WAIT_MS if is_lost else PERMIT_DELAY_MS, wait_ms)
 
@@ -206,26 +225,35 @@
         limit.asked_ms = min(limit.asked_ms, now_ms)
         return limit.home
 
-    def grant(self, key: EndpointKey, now_ms: float) -> tuple[bool, float]:
-        """Decide about another entry's request; return whether it may send, and the next wait."""
+    def grant(
+        self, key: EndpointKey, *, entry: str, waiting: int, now_ms: float
+    ) -> tuple[bool, float, int]:
+        """Decide whether *entry*, where *waiting* requests wait for the endpoint, may send one.
+
+        Returns that, the time until the next is due, and how many wait at the other entries.
+        """
         limit = self._in_force(key)
         if limit is None:
-            return True, 0.0
+            return True, 0.0, 0
         if limit.home != self._own:
-            return False, limit.interval_ms
+            return False, limit.interval_ms, 0
         is_due = now_ms >= limit.next_ms - GRANT_AHEAD_MS
         if is_due:
             limit.next_ms = max(now_ms, limit.next_ms) + limit.interval_ms
-        return is_due, limit.next_ms - now_ms
+        limit.waiting_by_entry[entry] = (waiting - is_due, now_ms)
+        return is_due, limit.next_ms - now_ms, limit.waiting_elsewhere(entry, now_ms)
 
     def receive_permit(
-        self, key: EndpointKey, *, is_granted: bool, wait_ms: float, now_ms: float
+        self, key: EndpointKey, *, is_granted: bool, wait_ms: float, ahead: int, now_ms: float
     ) -> None:
-        """Apply the answer of an endpoint's home; the next permit is due after *wait_ms*."""
+        """Apply the answer of an endpoint's home.
+
+        The next permit is due after *wait_ms*; *ahead* requests wait for one at other entries.
+        """
         limit = self._in_force(key)
         if limit is None or limit.home == self._own:
             return
-        limit.asked_ms, limit.next_ms = math.inf, now_ms + wait_ms
+        limit.asked_ms, limit.next_ms, limit.ahead = math.inf, now_ms + wait_ms, ahead
         if is_granted:
             limit.permits.append(now_ms + PERMIT_TTL_MS)
 
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -484,8 +484,9 @@
 class SendPermits:
     """Questions for permits to send to rate-limited endpoints, and answers, in a datagram.
 
-    *asked* holds rows of [address, start in ms], *answers* rows of [address, start in ms, whether a
-    request may be sent, ms until the next one is due].
+    *asked* holds rows of [address, start in ms, requests that wait], *answers* rows of [address,
+    start in ms, whether a request may be sent, ms until the next one is due, requests that wait
+    elsewhere].
     """
 
     vm: str
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -279,7 +279,7 @@
         self._broadcast_leaving(now_ms)
         self._segment_reports.send_due(now_ms)
         self._rate_limits.send_due(self._agent_address_by_endpoint, now_ms)
-        self._rate_limits.ask(self._context.dispatcher.awaited_keys(), now_ms)
+        self._rate_limits.ask(self._context.dispatcher.waiting_by_key(), now_ms)
         self._peers.probe_silent(now_ms)
 
     def _broadcast_state(self, now_ms: float) -> None:
@@ -350,7 +350,8 @@
     def announce_waiting(self, key: EndpointKey) -> None:
         """Tell the processes that can let a request proceed that it waits for an endpoint."""
         self.send_demand_now(key)
-        self._rate_limits.ask([key], monotonic_ms())
+        waiting = self._context.dispatcher.waiting_by_key()[key]
+        self._rate_limits.ask({key: waiting}, monotonic_ms())
 
     def send_demand_now(self, key: EndpointKey) -> None:
         """Send the agent of an engine at once which adapters are used and waited for there."""
--- a/src/skylarkrack/relay/_rate_limit_exchange.py
+++ b/src/skylarkrack/relay/_rate_limit_exchange.py
@@ -1,7 +1,7 @@
 """Exchange of endpoints' rate limits between entries and to agents, and of permits to send."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, Mapping
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
@@ -39,13 +39,13 @@
             if agent_address is not None:
                 self._peers.send(next(self._messages([report])), agent_address)
 
-    def ask(self, keys: Iterable[EndpointKey], now_ms: float) -> None:
-        """Ask the homes of endpoints for permits that requests wait for."""
+    def ask(self, waiting_by_key: Mapping[EndpointKey, int], now_ms: float) -> None:
+        """Ask the homes of endpoints for permits for the requests that wait there."""
         address_by_vm = {contact.vm: contact.address for contact in self._peers.alive(ENTRY)}
-        for key in keys:
+        for key, waiting in waiting_by_key.items():
             address = address_by_vm.get(self._limits.ask(key, now_ms))
             if address is not None:
-                self._peers.send(self._permits(asked=[list(key)]), address)
+                self._peers.send(self._permits(asked=[[*key, waiting]]), address)
 
     def send_all(self, address: str, now_ms: float) -> None:
         """Send every limit in force to an entry that is new or was silent."""
@@ -61,14 +61,20 @@
     def receive_permits(self, message: SendPermits, now_ms: float) -> bool:
         """Answer another entry's questions, and apply its answers; return whether any came."""
         answers = []
-        for address, started_ms in message.asked:
-            is_granted, wait_ms = self._limits.grant((address, started_ms), now_ms)
-            answers.append([address, started_ms, is_granted, round(wait_ms)])
+        for address, started_ms, waiting in message.asked:
+            is_granted, wait_ms, ahead = self._limits.grant(
+                (address, started_ms), entry=message.vm, waiting=waiting, now_ms=now_ms
+            )
+            answers.append([address, started_ms, is_granted, round(wait_ms), ahead])
         if answers:
             self._peers.send(self._permits(answers=answers), message.address)
-        for address, started_ms, is_granted, wait_ms in message.answers:
+        for address, started_ms, is_granted, wait_ms, ahead in message.answers:
             self._limits.receive_permit(
-                (address, started_ms), is_granted=is_granted, wait_ms=wait_ms, now_ms=now_ms
+                (address, started_ms),
+                is_granted=is_granted,
+                wait_ms=wait_ms,
+                ahead=ahead,
+                now_ms=now_ms,
             )
         return bool(message.answers)
 
--- /dev/null
+++ b/tests/relay_fleet_simulation.py
@@ -0,0 +1,316 @@
+"""A simulated fleet: real decisions of entries and agents, engines that only keep time."""
+
+import heapq
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from skylarkrack.core.relay import (
+    AdapterScheduler,
+    Call,
+    Dispatcher,
+    EndpointKey,
+    EngineCapacity,
+    EngineReport,
+    EngineState,
+    EngineStateReceived,
+    OrderKind,
+    OrderPace,
+    OrderResult,
+    PendingRequest,
+    Refuse,
+    SendTo,
+    Service,
+    TablePublished,
+    WaitFor,
+)
+from tests.relay_builders import MODEL, endpoint, engine_shape, need, route, table
+
+SLOTS, PLACES, ADAPTERS = 32, 21, 3000
+RUN_MS, RUN_JITTER_MS = 1800.0, 400.0
+COLD_LOAD_MS, WARM_LOAD_MS = 250.0, 25.0
+DATAGRAM_MS = 2.0
+WAKE_MS, TICK_MS, POLL_MS = 25.0, 50.0, 12.0
+
+
+@dataclass(slots=True, eq=False)
+class SimulatedEngine:
+    """An engine with its agent. *limit_at* returns the limit in ms of the simulation's time."""
+
+    key: EndpointKey
+    scheduler: AdapterScheduler
+    limit_at: Callable[[float], float]
+    resident: dict = field(default_factory=dict)
+    loading: dict = field(default_factory=dict)
+    recent: set = field(default_factory=set)
+    pace: OrderPace = field(default_factory=OrderPace)
+    sequence: int = 0
+    broadcasts: int = 0
+    runs: int = 0
+    got_ms: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class SimulatedEntry:
+    """An entry; *pending* are the requests that wait for its decisions."""
+
+    vm: str
+    dispatcher: Dispatcher
+    heard: dict = field(default_factory=dict)
+
+
+class FleetSimulation:
+    """Entries before engines. Time is in ms; *limit_at_by_engine* maps numbers of engines."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        entries: int,
+        engines: int,
+        requests_per_s: float,
+        limit_at_by_engine: dict[int, Callable[[float], float]],
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0.0
+        self._events: list[tuple[float, int, Callable, tuple]] = []
+        self._count = 0
+        self.outcomes: list[tuple[float, float, str]] = []
+        self._requests_per_s = requests_per_s
+        known = [endpoint(f"e{n}", slots=SLOTS) for n in range(engines)]
+        shape = engine_shape(slots=SLOTS, cache_tokens=200_000, adapter_slots=PLACES)
+        service = Service(name="engines", max_connections=250, engine=shape)
+        self.engines = {}
+        for number, one in enumerate(known):
+            unlimited = limit_at_by_engine.get(number, lambda ms: math.inf)
+            engine = SimulatedEngine(one.key, AdapterScheduler(fence=1), unlimited)
+            engine.resident[MODEL, ""] = 1
+            engine.scheduler.set_capacity(
+                EngineCapacity(
+                    adapter_slots=PLACES, memory_mb=200.0, weights_mb_by_model={MODEL: 100.0}
+                )
+            )
+            self.engines[one.key] = engine
+        self.entries = {}
+        for number in range(entries):
+            made = Dispatcher(domain="east")
+            made.observe(TablePublished(table=table(service_by_name={"engines": service})))
+            for one in known:
+                made.directory.put(one)
+            self.entries[f"n{number}"] = SimulatedEntry(f"n{number}", made)
+        for vm, entry in self.entries.items():
+            entry.dispatcher.rate_limits.set_entries(vm, list(self.entries), 0.0)
+
+    def run(self, until_ms: float) -> None:
+        """Play until *until_ms*; requests stop arriving two seconds before."""
+        for engine in self.engines.values():
+            self._after(self.rng.uniform(0, POLL_MS), self._poll, engine)
+        for entry in self.entries.values():
+            self._after(self.rng.uniform(0, TICK_MS), self._tick, entry)
+            self._after(self.rng.uniform(0, WAKE_MS), self._wake_regularly, entry)
+        self._after(500.0, self._arrive, until_ms - 2000.0)
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, call, arguments = heapq.heappop(self._events)
+            call(*arguments)
+
+    def _after(self, delay_ms: float, call: Callable, *arguments: object) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (self.now_ms + delay_ms, self._count, call, arguments))
+
+    # Requests
+
+    def _arrive(self, until_ms: float) -> None:
+        vm = self.rng.choice(list(self.entries))
+        adapter = f"a{min(ADAPTERS, int(self.rng.paretovariate(0.6)))}"
+        call = Call(
+            request_id="r", arrived_ms=self.now_ms, patience_ms=12_000.0, need=need(adapter)
+        )
+        pending = PendingRequest(
+            call=call,
+            route=route(),
+            service_name="engines",
+            priority=1,
+            deadline_ms=self.now_ms + 12_000.0,
+        )
+        self._place(self.entries[vm], pending)
+        if self.now_ms < until_ms:
+            self._after(self.rng.expovariate(self._requests_per_s / 1000), self._arrive, until_ms)
+
+    def _place(self, entry: SimulatedEntry, pending: PendingRequest) -> None:
+        decision = entry.dispatcher.decide(pending, self.now_ms)
+        if isinstance(decision, WaitFor):
+            entry.dispatcher.add_waiting(pending, decision)
+            self._send_demand(entry, decision.key)
+            self._ask(entry, decision.key)
+        else:
+            self._carry_out(entry, pending, decision)
+
+    def _carry_out(
+        self, entry: SimulatedEntry, pending: PendingRequest, decision: SendTo | Refuse
+    ) -> None:
+        waited_ms = self.now_ms - pending.call.arrived_ms
+        if isinstance(decision, Refuse):
+            self.outcomes.append((pending.call.arrived_ms, waited_ms, "refused"))
+            return
+        key, load = decision.endpoint.key, entry.dispatcher.load
+        if not entry.dispatcher.rate_limits.try_send(key, self.now_ms):
+            pending.tried.add(key)
+            self._place(entry, pending)
+            return
+        engine = self.engines[key]
+        if pending.need.adapter_id not in engine.resident:
+            entry.dispatcher.record_missing_adapter(key, pending.need)
+            self._place(entry, pending)
+            return
+        engine.got_ms.append(self.now_ms)
+        engine.runs += 1
+        load.start_run(key, tokens=pending.need.tokens, adapter_id=pending.need.adapter_id)
+        load.add_prompt(key, pending.need.prompt_tokens, self.now_ms)
+        self.outcomes.append((pending.call.arrived_ms, waited_ms, "sent"))
+        self._after(50.0, self._answer_begins, entry, engine, self.now_ms, engine.limit_at)
+        run_ms = self.rng.uniform(RUN_MS - RUN_JITTER_MS, RUN_MS + RUN_JITTER_MS)
+        self._after(run_ms, self._answer_ends, entry, engine, pending)
+
+    def _answer_begins(
+        self, entry: SimulatedEntry, engine: SimulatedEngine, sent_ms: float, limit_at: Callable
+    ) -> None:
+        entry.dispatcher.rate_limits.record_answer(
+            engine.key, limit_at(self.now_ms), sent_ms=sent_ms, now_ms=self.now_ms
+        )
+
+    def _answer_ends(
+        self, entry: SimulatedEntry, engine: SimulatedEngine, pending: PendingRequest
+    ) -> None:
+        engine.runs -= 1
+        entry.dispatcher.load.end_run(
+            engine.key, tokens=pending.need.tokens, adapter_id=pending.need.adapter_id
+        )
+        self._wake(entry)
+
+    def _wake_regularly(self, entry: SimulatedEntry) -> None:
+        self._wake(entry)
+        self._after(WAKE_MS, self._wake_regularly, entry)
+
+    def _wake(self, entry: SimulatedEntry) -> None:
+        ready = entry.dispatcher.next_ready(self.now_ms)
+        if ready is not None:
+            self._carry_out(entry, *ready)
+
+    # Messages between entries, and to agents
+
+    def _tick(self, entry: SimulatedEntry) -> None:
+        own = entry.dispatcher.own_loads(self.now_ms)
+        reports = entry.dispatcher.rate_limits.take_reports(self.now_ms)
+        for other in self.entries.values():
+            if other is not entry:
+                self._after(DATAGRAM_MS, self._receive_loads, other, entry.vm, own)
+                for report in reports:
+                    self._after(DATAGRAM_MS, self._receive_report, other, entry.vm, report)
+        for report in reports:
+            pace = self.engines[report.key].pace
+            self._after(DATAGRAM_MS, pace.set_limit, report.limit_per_s, self.now_ms)
+        for key in self.engines:
+            self._send_demand(entry, key)
+        for key in entry.dispatcher.waiting_by_key():
+            self._ask(entry, key)
+        self._after(TICK_MS, self._tick, entry)
+
+    def _receive_loads(self, entry: SimulatedEntry, sender: str, loads: dict) -> None:
+        entry.dispatcher.receive_loads(sender, loads, self.now_ms)
+
+    def _receive_report(self, entry: SimulatedEntry, sender: str, report: object) -> None:
+        entry.dispatcher.rate_limits.receive_report(sender, report, self.now_ms)
+
+    def _ask(self, entry: SimulatedEntry, key: EndpointKey) -> None:
+        home = entry.dispatcher.rate_limits.ask(key, self.now_ms)
+        if home is not None:
+            self._after(DATAGRAM_MS, self._grant, self.entries[home], entry, key)
+
+    def _grant(self, home: SimulatedEntry, asker: SimulatedEntry, key: EndpointKey) -> None:
+        is_granted, wait_ms, ahead = home.dispatcher.rate_limits.grant(
+            key,
+            entry=asker.vm,
+            waiting=max(1, asker.dispatcher.waiting_by_key()[key]),
+            now_ms=self.now_ms,
+        )
+        self._after(DATAGRAM_MS, self._receive_permit, asker, key, is_granted, wait_ms, ahead)
+
+    def _receive_permit(
+        self, entry: SimulatedEntry, key: EndpointKey, is_granted: bool, wait_ms: float, ahead: int
+    ) -> None:
+        entry.dispatcher.rate_limits.receive_permit(
+            key, is_granted=is_granted, wait_ms=wait_ms, ahead=ahead, now_ms=self.now_ms
+        )
+        self._wake(entry)
+
+    def _send_demand(self, entry: SimulatedEntry, key: EndpointKey) -> None:
+        wanted = entry.dispatcher.wanted_at(key)
+        in_use = entry.dispatcher.load.own_runs_by_adapter(key)
+        heard = entry.heard.get(key, 0)
+        self._after(DATAGRAM_MS, self._receive_demand, key, entry.vm, wanted, in_use, heard)
+
+    def _receive_demand(
+        self, key: EndpointKey, vm: str, wanted: dict, in_use: dict, heard: int
+    ) -> None:
+        self.engines[key].scheduler.update_demand(
+            vm, wanted=wanted, in_use=in_use, acknowledged_sequence=heard, now_ms=self.now_ms
+        )
+
+    # Agents
+
+    def _poll(self, engine: SimulatedEngine) -> None:
+        scheduler = engine.scheduler
+        report = EngineReport(
+            started_ms=1000,
+            sequence=engine.sequence,
+            is_busy=False,
+            resident=dict(engine.resident),
+            loading=dict(engine.loading),
+        )
+        scheduler.apply_report(report, self.now_ms)
+        order = scheduler.next_order(self.now_ms) if engine.pace.is_due(self.now_ms) else None
+        self._broadcast(engine, report)
+        if order is not None:
+            engine.pace.record_order(self.now_ms)
+            engine.got_ms.append(self.now_ms)
+            engine.sequence += 1
+            adapter_id = order.adapter_id
+            if order.kind is OrderKind.LOAD:
+                engine.loading[adapter_id] = order.version or 1
+                load_ms = WARM_LOAD_MS if adapter_id in engine.recent else COLD_LOAD_MS
+                self._after(load_ms, self._loaded, engine, adapter_id)
+            else:
+                engine.resident.pop(adapter_id, None)
+            scheduler.apply_result(OrderResult.ACCEPTED, self.now_ms)
+        self._after(POLL_MS, self._poll, engine)
+
+    def _loaded(self, engine: SimulatedEngine, adapter_id: tuple) -> None:
+        engine.resident[adapter_id] = engine.loading.pop(adapter_id)
+        engine.recent.add(adapter_id)
+
+    def _broadcast(self, engine: SimulatedEngine, report: EngineReport) -> None:
+        engine.broadcasts += 1
+        engine.scheduler.record_broadcast(engine.broadcasts)
+        state = EngineState(
+            received_ms=self.now_ms,
+            resident=engine.scheduler.usable_adapters(),
+            loading=report.loading,
+            spare_slots=engine.scheduler.spare_slots(self.now_ms),
+        )
+        for entry in self.entries.values():
+            self._after(DATAGRAM_MS, self._receive_state, entry, engine, state, engine.broadcasts)
+
+    def _receive_state(
+        self, entry: SimulatedEntry, engine: SimulatedEngine, state: EngineState, number: int
+    ) -> None:
+        entry.heard[engine.key] = number
+        # Entries change what they hold of a state, so each gets its own.
+        own = EngineState(
+            received_ms=self.now_ms,
+            resident=dict(state.resident),
+            loading=dict(state.loading),
+            spare_slots=state.spare_slots,
+        )
+        if entry.dispatcher.observe(EngineStateReceived(key=engine.key, state=own)):
+            self._wake(entry)
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -163,8 +163,10 @@
 
     def ask(self, now_ms: float) -> bool:
         """Ask the home for a permit, which arrives at once."""
-        is_granted, wait_ms = self.home.grant(KEY, now_ms)
-        self.other.receive_permit(KEY, is_granted=is_granted, wait_ms=wait_ms, now_ms=now_ms)
+        is_granted, wait_ms, ahead = self.home.grant(KEY, entry="x", waiting=1, now_ms=now_ms)
+        self.other.receive_permit(
+            KEY, is_granted=is_granted, wait_ms=wait_ms, ahead=ahead, now_ms=now_ms
+        )
         return is_granted
 
     def test_a_permit_allows_one_request(self) -> None:
@@ -179,7 +181,7 @@
         self.assertFalse(self.other.try_send(KEY, PERMIT_TTL_MS))
 
     def test_only_the_home_grants(self) -> None:
-        self.assertFalse(self.other.grant(KEY, 0.0)[0])
+        self.assertFalse(self.other.grant(KEY, entry="x", waiting=1, now_ms=0.0)[0])
 
     def test_permits_and_the_homes_own_requests_share_the_rate(self) -> None:
         self.assertTrue(self.ask(0.0))
@@ -194,6 +196,13 @@
         self.assertIsNone(self.other.ask(KEY, 400.0))
         self.assertIsNotNone(self.other.ask(KEY, 500.0))
 
+    def test_requests_that_wait_elsewhere_are_expected_to_go_first(self) -> None:
+        self.home.try_send(KEY, 0.0)
+        self.home.grant(KEY, entry="y", waiting=4, now_ms=0.0)
+        self.assertFalse(self.ask(0.0))
+        self.assertEqual(self.other.wait_ms(KEY, 0.0), 2500.0)
+        self.assertEqual(self.home.wait_ms(KEY, 0.0), 3000.0)
+
     def test_a_home_that_does_not_answer_is_not_waited_for(self) -> None:
         self.other.ask(KEY, 0.0)
         self.assertGreaterEqual(self.other.wait_ms(KEY, ANSWER_TIMEOUT_MS), LOST_HOME_WAIT_MS)
@@ -259,12 +268,13 @@
 
         def receive_question(name: str, sender: str) -> None:
             if name in limits_by_entry:
-                post(receive_permit, sender, *limits_by_entry[name].grant(KEY, now_ms))
+                answer = limits_by_entry[name].grant(KEY, entry=sender, waiting=1, now_ms=now_ms)
+                post(receive_permit, sender, *answer)
 
-        def receive_permit(name: str, is_granted: bool, wait_ms: float) -> None:
+        def receive_permit(name: str, is_granted: bool, wait_ms: float, ahead: int) -> None:
             if name in limits_by_entry:
                 limits_by_entry[name].receive_permit(
-                    KEY, is_granted=is_granted, wait_ms=wait_ms, now_ms=now_ms
+                    KEY, is_granted=is_granted, wait_ms=wait_ms, ahead=ahead, now_ms=now_ms
                 )
 
         def receive_answer(name: str, sent_ms: float, limit: float) -> None:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -530,7 +530,7 @@
     Guard(
         name="relay-rate-limit-home",
         file="core/relay/_rate_limits.py",
-        code="        if limit.home != self._own:\n            return False, limit.interval_ms\n",
+        code="        if limit.home != self._own:\n            return False, limit.interval_ms, 0\n",
         without="",
         test="tests.test_relay_rate_limits.TestPermits.test_only_the_home_grants",
     ),
