Log where streams are resumed, with the software versions

Change: the version of a registration is kept with the endpoint, goes to the entries of the domain with the store's steps (a tenth column, which older builds reject and then read for themselves), and stands in ENDPOINT_SEEN; STREAM_RESUMED (734) names both. Nothing is decided by it yet.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -81,6 +81,7 @@
     SEGMENTS_QUARANTINED = 731
     SEGMENTS_RELEASED = 732
     RATE_LIMIT_CHANGED = 733
+    STREAM_RESUMED = 734
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/core/relay/_call.py
+++ b/src/skylarkrack/core/relay/_call.py
@@ -36,7 +36,8 @@
 
     *arrived_ms* is on the process's monotonic clock; *patience_ms* is the time limit that the
     caller gave, or None. *resume_after* is the id of the last stream event that the caller
-    has received, or None.
+    has received, or None; *first_attempt* is the request id under which the stream's first event
+    came, or None.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     need: ModelNeed | None = None
     has_token_count: bool = False
     resume_after: str | None = None
+    first_attempt: str | None = None
 
     @property
     def shared_segments(self) -> tuple[str, ...]:
--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -37,6 +37,7 @@
     *started_ms* is its start by its own calendar clock. *slots* is the number of requests that it
     runs concurrently. *warmup_left_ms* is the rest of its warm-up. *adapters_by_model* maps model
     to adapter to version as registered, or is None if the registration has no such list.
+    *software_version* is the version of the software that it runs, or "" if that is unknown.
     """
 
     endpoint_id: str
@@ -48,6 +49,7 @@
     is_leaving: bool = False
     warmup_left_ms: float = 0.0
     adapters_by_model: dict[str, dict[str, int]] | None = None
+    software_version: str = ""
 
     @property
     def key(self) -> EndpointKey:
--- a/src/skylarkrack/messages.py
+++ b/src/skylarkrack/messages.py
@@ -427,9 +427,9 @@
     It holds the changes of one *era* after the revision *base* up to *revision*. *kind* is
     `registrations` or `publications`. Without *is_complete* there were further changes. *endpoints*
     holds rows of [id, service, address, domain, slots, start in ms, is leaving, warm-up left in
-    ms, rows of [adapter, version] by model or None], *removed* the ids of registrations that ended,
-    and *versions* rows of [model, adapter, version]. *restored_ago_ms* is the time since the store
-    came back after an outage, or -1.
+    ms, rows of [adapter, version] by model or None, software version], *removed* the ids of
+    registrations that ended, and *versions* rows of [model, adapter, version]. *restored_ago_ms* is
+    the time since the store came back after an outage, or -1.
     """
 
     vm: str
--- a/src/skylarkrack/platform/_documents.py
+++ b/src/skylarkrack/platform/_documents.py
@@ -79,9 +79,10 @@
     """Return the endpoint in the registration under *endpoint_id*; raises `DocumentRejected`.
 
     `born` is the calendar time of its start in ms, `cold-left-ms` the time for which it is still
-    slow after its start.
+    slow after its start. `version` is that of the endpoint's software, not of an adapter.
     """
     document = decode_json(data)
+    software_version = document.get("version")
     state = _string(document, "state")
     if state not in ("ready", "draining"):
         raise DocumentRejected(f"state is {state!r}, not ready or draining")
@@ -102,6 +103,7 @@
         adapters_by_model=(
             None if models is None else _adapters_by_model(_object_list(document, "models"))
         ),
+        software_version=software_version if isinstance(software_version, str) else "",
     )
 
 
--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -22,6 +22,8 @@
 _PREFIX = b"x-prompt-prefix"
 # The last event of this stream that the caller has received.
 _RESUME_AFTER = b"last-event-id"
+# The request id of the caller's attempt that brought the first event of the stream.
+_FIRST_ATTEMPT = b"resumes"
 _KEY = b"authorization"
 # The endpoint's proof that it produced the answer.
 _PROOF = b"x-response-seal"
@@ -120,6 +122,7 @@
             need=need,
             has_token_count=has_count,
             resume_after=request.header(_RESUME_AFTER),
+            first_attempt=request.header(_FIRST_ATTEMPT),
         )
         return IncomingRequest(
             host=host.partition(":")[0].lower(),
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -179,6 +179,8 @@
     async def _forward(self, placement: SendTo) -> None:
         """Send the request to one endpoint and forward the response; raises `_RetryRequest`."""
         endpoint, need = placement.endpoint, self.pending.need
+        if self._resume_after is not None:
+            self._log.stream_resumed(placement, self._resume_after, None)
         tokens = 0 if need is None else need.tokens
         name = None if need is None else need.adapter_id
         load = self._context.dispatcher.load
@@ -235,17 +237,21 @@
     def _is_own_response(self, headers: list) -> bool:
         return self._context.codec.is_response_to(self.pending.call.request_id, headers)
 
+    @property
+    def _resume_after(self) -> str | None:
+        """The id of the last event that the caller has, or None for a stream from its start."""
+        if self._event_stream is None:
+            return None
+        return self._event_stream.last_id or self.pending.call.resume_after
+
     def _forward_parameters(self, placement: SendTo, now_ms: float) -> ForwardParameters:
-        resume_after = None
-        if self._event_stream is not None:
-            resume_after = self._event_stream.last_id or self.pending.call.resume_after
         return ForwardParameters(
             endpoint_id=placement.endpoint.endpoint_id,
             remaining_ms=self._remaining_ms(now_ms),
             organisation=self.pending.organisation,
             urgency=min(LEAST_URGENT, BASE_URGENCY + self.pending.priority),
             version=placement.version or None,
-            resume_after=resume_after,
+            resume_after=self._resume_after,
         )
 
     def _remaining_ms(self, now_ms: float) -> float:
--- a/src/skylarkrack/relay/_exchange_log.py
+++ b/src/skylarkrack/relay/_exchange_log.py
@@ -86,6 +86,22 @@
         )
         self._context.metrics.count("rate_limit_changes_total", self._pending.service_name)
 
+    def stream_resumed(self, placement: SendTo, after: str, known_version: str | None) -> None:
+        """Record that a stream goes on behind the event *after*.
+
+        *known_version* is the software version that is known to have begun it, or None.
+        """
+        log(
+            Event.STREAM_RESUMED,
+            request=self._pending.call.request_id,
+            first_attempt=self._pending.call.first_attempt,
+            after=after,
+            begun_by=known_version,
+            endpoint=placement.endpoint.endpoint_id,
+            software=placement.endpoint.software_version,
+        )
+        self._context.metrics.count("streams_resumed_total", self._pending.service_name)
+
     def events_forwarded(self) -> None:
         """Record that events of a stream were forwarded to the caller."""
         now_ms = monotonic_ms()
--- a/src/skylarkrack/relay/_registry_view.py
+++ b/src/skylarkrack/relay/_registry_view.py
@@ -52,6 +52,7 @@
                 address=endpoint.address,
                 started_ms=endpoint.started_ms,
                 leaving=endpoint.is_leaving,
+                software=endpoint.software_version,
             )
             self._drop_removed()
             self._context.placement_queue.wake()
--- a/src/skylarkrack/relay/_store_feed.py
+++ b/src/skylarkrack/relay/_store_feed.py
@@ -124,13 +124,17 @@
         endpoint.is_leaving,
         endpoint.warmup_left_ms,
         None if adapters is None else {m: list(a.items()) for m, a in adapters.items()},
+        endpoint.software_version,
     ]
 
 
 def _endpoint(row: list) -> Endpoint:
-    endpoint_id, service, address, domain, slots, started_ms, is_leaving, warmup_ms, rows = row
-    if not all(isinstance(text, str) for text in (endpoint_id, service, address, domain)):
-        raise ValueError("an endpoint's id, service, address or domain is not a string")
+    endpoint_id, service, address, domain, slots, started_ms, is_leaving, warmup_ms, rows = row[:9]
+    # Entries of builds before it leave out the software version.
+    software_version = row[9] if len(row) > 9 else ""
+    texts = (endpoint_id, service, address, domain, software_version)
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError("an endpoint's id, service, address, domain or version is not a string")
     if not all(isinstance(number, int | float) for number in (slots, started_ms, warmup_ms)):
         raise ValueError("an endpoint's slots, start or warm-up is not a number")
     return Endpoint(
@@ -143,4 +147,5 @@
         is_leaving=is_leaving,
         warmup_left_ms=warmup_ms,
         adapters_by_model=None if rows is None else {m: dict(pairs) for m, pairs in rows.items()},
+        software_version=software_version,
     )
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -88,15 +88,23 @@
     """An entry in this process with stand-in endpoints; callers send it raw bytes."""
 
     def __init__(
-        self, *workers: PlatformWorker, service: str = "desk", cancels_on_revocation: bool = False
+        self,
+        *workers: PlatformWorker,
+        service: str = "desk",
+        cancels_on_revocation: bool = False,
+        software_versions: tuple[str, ...] = (),
+        vm: str = "entry-1",
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.workers = workers
+        self._software_by_address: dict[str, str] = {}
+        self._software_versions = software_versions
         self._service = service
         settings = RelaySettings(
-            vm="entry-1",
+            vm=vm,
             domain="east",
             peers=free_address(),
-            seeds=(),
+            seeds=seeds,
             grace_ms=8000.0,
             retry_slack=50.0,
             callers="127.0.0.1:0",
@@ -104,11 +112,14 @@
             cancels_on_revocation=cancels_on_revocation,
         )
         self.peers = settings.peers
-        self.entry = RelayEntry(settings, codec=PlatformCodec(), incarnation="i1")
+        self.entry = RelayEntry(settings, codec=PlatformCodec(), incarnation=vm)
 
     async def __aenter__(self) -> "EntryHarness":
         for worker in self.workers:
-            await worker.start()
+            if not worker.address:
+                await worker.start()
+        addresses = (worker.address for worker in self.workers)
+        self._software_by_address = dict(zip(addresses, self._software_versions, strict=False))
         await self.entry.start()
         self.entry.registry.table_published(as_bytes(config()))
         self.list_workers()
@@ -140,6 +151,7 @@
             slots=6,
             started_ms=1000,
             adapters_by_model={MODEL: {"a1": 1}} if self._service == "llm" else None,
+            software_version=self._software_by_address.get(address, "v1"),
         )
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
