Count an aborted run as in use until its engine can have noticed

An entry took a run out of what it reports in use as soon as its caller left, so that the agent may order the eviction before the engine has seen the connection close. Change: the adapter of a run that was given up without its end stays in use for 500 ms; its slot is free at once. A guard's test fails without it.

--- a/src/skylarkrack/core/relay/_load.py
+++ b/src/skylarkrack/core/relay/_load.py
@@ -14,6 +14,10 @@
 """Age from which another entry's report is ignored; entries report at least every 400 ms."""
 
 
+ABORT_MS = 500.0
+"""Time in which an engine notices that a run's connection was closed, and ends the run."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineState:
     """What an engine's agent reports; *received_ms* is on the receiver's clock.
@@ -133,13 +137,22 @@
 class LoadTracker:
     """Runs and tokens in progress by endpoint incarnation, over all entries. Times are ms."""
 
-    __slots__ = ("_peers", "_prompts_by_key", "_runs", "_runs_by_adapter", "_tokens")
+    __slots__ = (
+        "_aborted_by_key",
+        "_peers",
+        "_prompts_by_key",
+        "_runs",
+        "_runs_by_adapter",
+        "_tokens",
+    )
 
     def __init__(self) -> None:
         self._runs: Counter[EndpointKey] = Counter()
         self._tokens: Counter[EndpointKey] = Counter()
         self._prompts_by_key: dict[EndpointKey, deque[tuple[float, int]]] = {}
         self._runs_by_adapter: dict[EndpointKey, Counter[AdapterId]] = {}
+        # In the order of their times: (end of `ABORT_MS`, adapter).
+        self._aborted_by_key: dict[EndpointKey, deque[tuple[float, AdapterId]]] = {}
         self._peers = _PeerLoads()
 
     # Queries
@@ -166,9 +179,20 @@
             for key, runs in self._runs.items()
         }
 
-    def own_runs_by_adapter(self, key: EndpointKey) -> dict[AdapterId, int]:
-        """Return this entry's runs at an endpoint by model and adapter."""
-        return dict(self._runs_by_adapter.get(key, {}))
+    def own_runs_by_adapter(self, key: EndpointKey, now_ms: float) -> dict[AdapterId, int]:
+        """Return this entry's runs at an endpoint by model and adapter.
+
+        Aborted runs are included for as long as the endpoint may still run them.
+        """
+        runs = Counter(self._runs_by_adapter.get(key, {}))
+        aborted = self._aborted_by_key.get(key)
+        if aborted is not None:
+            while aborted and aborted[0][0] <= now_ms:
+                aborted.popleft()
+            runs.update(adapter_id for _, adapter_id in aborted)
+            if not aborted:
+                del self._aborted_by_key[key]
+        return dict(runs)
 
     # Commands
 
@@ -186,15 +210,26 @@
         self._prompts_by_key.setdefault(key, deque()).append((now_ms, tokens))
 
     def end_run(
-        self, key: EndpointKey, *, tokens: int, adapter_id: AdapterId | None = None
+        self,
+        key: EndpointKey,
+        *,
+        tokens: int,
+        adapter_id: AdapterId | None = None,
+        aborted_ms: float | None = None,
     ) -> None:
-        """Count the end of a run, with the *tokens* of its start."""
+        """Count the end of a run, with the *tokens* of its start.
+
+        *aborted_ms* is the time if this entry gave it up without its end from the endpoint.
+        """
         self._subtract(self._runs, key, 1)
         self._subtract(self._tokens, key, tokens)
         if adapter_id is not None:
             self._subtract(self._runs_by_adapter[key], adapter_id, 1)
             if not self._runs_by_adapter[key]:
                 del self._runs_by_adapter[key]
+            if aborted_ms is not None:
+                aborted = self._aborted_by_key.setdefault(key, deque())
+                aborted.append((aborted_ms + ABORT_MS, adapter_id))
 
     def receive_peer_loads(
         self, entry: str, load_by_key: dict[EndpointKey, EndpointLoad], *, now_ms: float
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -85,6 +85,7 @@
         "_attempts",
         "_context",
         "_event_stream",
+        "_is_run_over",
         "_last_placement",
         "_log",
         "_overdue_timer",
@@ -108,6 +109,8 @@
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._log = ExchangeLog(context, pending)
         self._sent_ms = 0.0
+        # Whether the endpoint has ended the last run, or did not begin it.
+        self._is_run_over = True
         self.state = "placing"
 
     @property
@@ -203,6 +206,7 @@
         if not self._context.dispatcher.rate_limits.try_send(endpoint.key, monotonic_ms()):
             # The limit became known, or was used up, after the request was placed.
             raise _RetryRequest("rate limit", was_sent=False, may_have_run=False)
+        self._is_run_over = False
         self.state = "sent"
 
     async def _place(self) -> SendTo:
@@ -226,6 +230,7 @@
         tokens = 0 if need is None else need.tokens
         name = None if need is None else need.adapter_id
         load = self._context.dispatcher.load
+        self._is_run_over = True
         load.start_run(endpoint.key, tokens=tokens, adapter_id=name)
         if need is not None:
             load.add_prompt(endpoint.key, need.prompt_tokens, monotonic_ms())
@@ -242,7 +247,8 @@
                 response.close()
         finally:
             self._overdue_timer.cancel()
-            load.end_run(endpoint.key, tokens=tokens, adapter_id=name)
+            aborted_ms = None if self._is_run_over else monotonic_ms()
+            load.end_run(endpoint.key, tokens=tokens, adapter_id=name, aborted_ms=aborted_ms)
             if self._context.dispatcher.waiting_count():
                 asyncio.get_running_loop().call_soon(self._context.placement_queue.wake)
 
@@ -350,6 +356,7 @@
         self, response: ClientResponse, endpoint: Endpoint, classification: ResponseClassification
     ) -> None:
         """Record why the endpoint did not run the request; always raises `_RetryRequest`."""
+        self._is_run_over = True
         dispatcher = self._context.dispatcher
         try:
             await response.read_body(timeout_ms=CONNECT_TIMEOUT_MS, total_ms=CONNECT_TIMEOUT_MS)
@@ -466,7 +473,7 @@
             self._context.crash_tracker.record_crash(endpoint.key, now_ms)
 
     def _record_end(self, status: int, placement: SendTo) -> None:
-        self.state = "ended"
+        self.state, self._is_run_over = "ended", True
         segments = self.pending.call.shared_segments if status < _REDIRECTION else ()
         self._context.crash_tracker.record_success(
             self.pending.fingerprint, monotonic_ms(), segments=segments
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -345,7 +345,8 @@
     def _send_due_demands(self, now_ms: float) -> None:
         idle_ms = idle_demand_interval_ms(self.count_entries())
         for endpoint in self._context.dispatcher.directory.all():
-            in_use = self._context.dispatcher.load.own_runs_by_adapter(endpoint.key).keys()
+            load = self._context.dispatcher.load
+            in_use = load.own_runs_by_adapter(endpoint.key, now_ms).keys()
             interval_ms = BUSY_DEMAND_MS if in_use else idle_ms
             has_changed = not in_use <= self._sent_in_use_by_key.get(endpoint.key, frozenset())
             if has_changed or self._context.dispatcher.wanted_at(endpoint.key):
@@ -375,7 +376,7 @@
         self._sequence += 1
         heard_of, heard = self._last_received_by_endpoint.get(endpoint.address, ("", 0))
         wanted = self._context.dispatcher.wanted_at(endpoint.key)
-        in_use = self._context.dispatcher.load.own_runs_by_adapter(endpoint.key)
+        in_use = self._context.dispatcher.load.own_runs_by_adapter(endpoint.key, now_ms)
         self._sent_in_use_by_key[endpoint.key] = frozenset(in_use)
         demand = AdapterDemand(
             vm=self._settings.vm,
--- a/tests/relay_fleet_simulation.py
+++ b/tests/relay_fleet_simulation.py
@@ -246,7 +246,7 @@
 
     def _send_demand(self, entry: SimulatedEntry, key: EndpointKey) -> None:
         wanted = entry.dispatcher.wanted_at(key)
-        in_use = entry.dispatcher.load.own_runs_by_adapter(key)
+        in_use = entry.dispatcher.load.own_runs_by_adapter(key, self.now_ms)
         heard = entry.heard.get(key, 0)
         self._after(DATAGRAM_MS, self._receive_demand, key, entry.vm, wanted, in_use, heard)
 
--- a/tests/test_relay_load.py
+++ b/tests/test_relay_load.py
@@ -8,7 +8,7 @@
 import unittest
 
 from skylarkrack.core.relay import EndpointLoad, EngineStateReceived, LoadTracker, WaitFor
-from skylarkrack.core.relay._load import LOAD_TTL_MS, PREFILL_WINDOW_MS
+from skylarkrack.core.relay._load import ABORT_MS, LOAD_TTL_MS, PREFILL_WINDOW_MS
 from skylarkrack.core.relay._placement import MAX_CACHED_ORDERS, MAX_HOMES, RankCache
 from tests.relay_builders import dispatcher, endpoint, pending_request, state
 
@@ -56,6 +56,30 @@
                     self.assertEqual(sums, self.expected(reports, key, now_ms))
 
 
+class TestAbortedRuns(unittest.TestCase):
+    """An engine may still run what an entry gave up; its adapter must not be evicted meanwhile."""
+
+    KEY, ADAPTER = ("10.0.0.1:8000", 1000), ("base", "a1")
+
+    def setUp(self) -> None:
+        self.load = LoadTracker()
+        self.load.start_run(self.KEY, tokens=10, adapter_id=self.ADAPTER)
+
+    def test_an_aborted_run_is_in_use_until_the_engine_has_noticed(self) -> None:
+        self.load.end_run(self.KEY, tokens=10, adapter_id=self.ADAPTER, aborted_ms=100.0)
+        in_use = self.load.own_runs_by_adapter(self.KEY, 99.0 + ABORT_MS)
+        self.assertEqual(in_use, {self.ADAPTER: 1})
+        self.assertEqual(self.load.own_runs_by_adapter(self.KEY, 100.0 + ABORT_MS), {})
+
+    def test_an_aborted_run_takes_no_slot(self) -> None:
+        self.load.end_run(self.KEY, tokens=10, adapter_id=self.ADAPTER, aborted_ms=100.0)
+        self.assertEqual(self.load.total(self.KEY, 100.0).runs, 0)
+
+    def test_a_run_that_the_engine_ended_is_over(self) -> None:
+        self.load.end_run(self.KEY, tokens=10, adapter_id=self.ADAPTER)
+        self.assertEqual(self.load.own_runs_by_adapter(self.KEY, 0.0), {})
+
+
 class TestRankCache(unittest.TestCase):
     """The positions of endpoints for an adapter."""
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -26,6 +26,7 @@
     request,
     unresponsive_address,
 )
+from tests.relay_builders import MODEL
 
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 
@@ -326,6 +327,25 @@
         await self.leave(worker, model_request(), service="llm")
         self.assertTrue(worker.closed.is_set())
 
+    async def test_the_adapter_of_a_cancelled_stream_stays_in_use_for_a_time(self) -> None:
+        worker = PlatformWorker([silence()])
+        async with EntryHarness(worker, service="llm") as harness:
+            _, writer = await harness.connect()
+            writer.write(model_request())
+            await asyncio.wait_for(worker.first_received.wait(), 2)
+            writer.close()
+            await asyncio.wait_for(worker.closed.wait(), 2)
+            load, key = harness.entry._context.dispatcher.load, (worker.address, 1000)
+            self.assertEqual(load.total(key, monotonic_ms()).runs, 0)
+            self.assertEqual(load.own_runs_by_adapter(key, monotonic_ms()), {(MODEL, "a1"): 1})
+
+    async def test_the_adapter_of_a_whole_stream_is_not_in_use_any_more(self) -> None:
+        worker = PlatformWorker([stream(*EVENTS)])
+        async with EntryHarness(worker, service="llm") as harness:
+            await harness.send_raw(model_request())
+            load = harness.entry._context.dispatcher.load
+            self.assertEqual(load.own_runs_by_adapter((worker.address, 1000), monotonic_ms()), {})
+
     async def test_a_request_that_may_run_only_once_continues(self) -> None:
         done = asyncio.Event()
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -569,4 +569,11 @@
         without="if False:",
         test="tests.test_relay_stream_origins.TestOrigins.test_origins_are_sent_only_while_versions_are_mixed",
     ),
+    Guard(
+        name="relay-aborted-run",
+        file="relay/_exchange.py",
+        code="aborted_ms = None if self._is_run_over else monotonic_ms()",
+        without="aborted_ms = None",
+        test="tests.test_relay_path.TestCallerDisconnects.test_the_adapter_of_a_cancelled_stream_stays_in_use_for_a_time",
+    ),
 )
