Let endpoints of the soak name limits, and callers take streams up

Change: one endpoint after the other names a limit, and what reaches it is checked over all processes; engines have two versions, one caller in ten drops a stream and takes it up at any entry, and no body may hold events of both; at least half of the take-ups after the recovery go on. The faults of a seed are drawn as before, limits have a generator of their own.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -18,13 +18,23 @@
 PLAIN_RUN_S = 0.03
 
 
-def events_for(request_id: str) -> list[bytes]:
-    """Return the server-sent events with which an engine answers a request."""
+SOFTWARE_VERSIONS = ("v1", "v2")
+"""Software versions of engines; each engine keeps its own through restarts."""
+
+
+def events_for(request_id: str, software_version: str) -> list[bytes]:
+    """Return the server-sent events with which an engine of a version answers a request."""
     return [
-        f"id: {n}\ndata: {request_id} {n}\n\n".encode() for n in range(1, EVENTS_PER_STREAM + 1)
+        f"id: {n}\ndata: {request_id} {n} {software_version}\n\n".encode()
+        for n in range(1, EVENTS_PER_STREAM + 1)
     ]
 
 
+def stream_bodies(request_id: str) -> list[bytes]:
+    """Return the whole answers to a request for a stream, one for each version."""
+    return [b"".join(events_for(request_id, version)) for version in SOFTWARE_VERSIONS]
+
+
 class Endpoint:
     """Base of engines and plain services: the server, the registration and checks of requests."""
 
@@ -33,6 +43,8 @@
         self.address = address
         self.checker = checker
         self.started_ms = 1
+        self.software_version = SOFTWARE_VERSIONS[0]
+        self.limit_per_s: float | None = None
         self._server = self._new_server()
 
     def _new_server(self) -> HttpServer:
@@ -62,13 +74,17 @@
             "state": "ready",
             "born": self.started_ms,
             "seq": 1,
+            "version": self.software_version,
         }
         return json.dumps(document).encode()
 
     def proof_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
         """Return the response headers that show which request the response belongs to."""
         attempt_id = (request.header(b"x-attempt-id") or "").encode()
-        return [(b"x-attempt-id", attempt_id), (b"x-response-seal", b"s-" + attempt_id)]
+        headers = [(b"x-attempt-id", attempt_id), (b"x-response-seal", b"s-" + attempt_id)]
+        if self.limit_per_s is not None:
+            headers.append((b"server-limit", f"{self.limit_per_s:.2f}".encode()))
+        return headers
 
     def begin_run(self, request: Request, *, is_repeatable: bool) -> None:
         """Record in the checker that the request runs, and the tokens that it declares."""
@@ -90,6 +106,8 @@
             self.checker.violations.append(f"{expected} was meant, {self.name} was asked")
             responder.respond(421, [(b"x-not-executed", b"1")], b"")
             return
+        if request.path != "/report":
+            self.checker.record_arrival(self.name, asyncio.get_running_loop().time())
         await self.answer(request, responder)
 
 
@@ -113,6 +131,7 @@
 
     def __init__(self, name: str, address: str, checker: GuaranteeChecker) -> None:
         super().__init__(name, address, checker)
+        self.software_version = SOFTWARE_VERSIONS[int(name[-1]) % len(SOFTWARE_VERSIONS)]
         self._sequence = 0
         self._fence = 0
         self._loaded_versions: dict[str, int] = {}
@@ -187,7 +206,8 @@
                 200, [*self.proof_headers(request), (b"content-type", b"text/event-stream")]
             )
             received_count = int(request.header(b"last-event-id") or "0")
-            for event in events_for(request.header(b"x-attempt-id"))[received_count:]:
+            events = events_for(request.header(b"x-attempt-id"), self.software_version)
+            for event in events[received_count:]:
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 responder.send(event)
             responder.end()
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -22,6 +22,13 @@
 """Time after a caller has left by which its request must not reach an endpoint any more."""
 
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT_RATIO = 1.5
+LIMIT_SLACK_REQUESTS = 5
+LIMIT_KNOWN_S = 3.0
+"""Time after an endpoint first named its limit from which every window has to keep it."""
+
+
 @dataclass(slots=True)
 class GuaranteeChecker:
     """Records runs at endpoints and responses at callers.
@@ -29,6 +36,8 @@
     `violations` describes each violation of a guarantee. The rate is in tokens per second, the
     burst in tokens; `token_records` holds pairs of a time in seconds and tokens. `left_s_by_id`
     holds when callers left, without those whose requests may be held up by a fault.
+    `limit_by_endpoint` holds the requests a second that endpoints accept and since when; what they
+    got by then is not counted.
     """
 
     rate_per_s: float
@@ -40,6 +49,23 @@
     token_records: list[tuple[float, float]] = field(default_factory=list)
     count_by_status: Counter = field(default_factory=Counter)
     left_s_by_id: dict[str, float] = field(default_factory=dict)
+    limit_by_endpoint: dict[str, tuple[float, float]] = field(default_factory=dict)
+    arrivals_by_endpoint: dict[str, list[float]] = field(default_factory=dict)
+
+    def record_arrival(self, endpoint: str, now_s: float) -> None:
+        """Record a request or an order that reaches an endpoint, and check its limit."""
+        if endpoint not in self.limit_by_endpoint:
+            return
+        limit_per_s, since_s = self.limit_by_endpoint[endpoint]
+        arrivals = self.arrivals_by_endpoint.setdefault(endpoint, [])
+        arrivals.append(now_s)
+        recent = [at_s for at_s in arrivals if at_s > max(since_s, now_s - LIMIT_WINDOW_S)]
+        allowed = LIMIT_OVERSHOOT_RATIO * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK_REQUESTS
+        if now_s >= since_s + LIMIT_KNOWN_S and len(recent) > allowed:
+            self.violations.append(
+                f"{endpoint} accepts {limit_per_s:.1f} requests a second and got {len(recent)} in "
+                f"{LIMIT_WINDOW_S:.0f} s"
+            )
 
     def record_run(
         self, request_id: str, *, is_repeatable: bool, headers: dict[str, str], now_s: float
@@ -70,9 +96,9 @@
             if self.runs_by_id[request_id] and not is_repeatable:
                 self.violations.append(f"{request_id} was refused as not run and had run")
 
-    def check_body(self, request_id: str, body: bytes, expected: bytes) -> None:
-        """Check that a complete body is the one that the endpoint sends for this request."""
-        if body != expected:
+    def check_body(self, request_id: str, body: bytes, expected: list[bytes]) -> None:
+        """Check that a complete body is one of those that endpoints send for this request."""
+        if body not in expected:
             self.violations.append(f"{request_id}: {body[:60]!r} is not its whole answer")
 
     def check_token_rate(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from collections import deque
+from collections import Counter, deque
 from pathlib import Path
 
 import fire
@@ -18,7 +18,14 @@
 
 from skylarkrack._errors import LinkLost
 from skylarkrack.web import HttpClient
-from soak.endpoints import MODEL, Engine, events_for
+from soak.endpoints import (
+    MODEL,
+    SOFTWARE_VERSIONS,
+    Endpoint,
+    Engine,
+    events_for,
+    stream_bodies,
+)
 from soak.fleet import Fleet, Machine
 from soak.guarantees import REVOCATION_LIMIT_S
 from soak.proxy import Fault
@@ -36,6 +43,19 @@
 """Ratio of the `PROBES` requests that must succeed; fewer are a violation."""
 
 PROBES = 60
+TAKE_UP_RATIO = 0.1
+"""Ratio of the requests whose callers drop their stream and take it up, mostly at another entry."""
+
+EVENTS_BEFORE_TAKE_UP = 2
+TAKE_UPS = 12
+MIN_TAKEN_UP_RATIO = 0.5
+"""Ratio of the `TAKE_UPS` after the recovery that must go on."""
+
+LIMIT_PAUSE_S = (1.0, 4.0)
+LIMIT_DURATION_S = (4.0, 6.0)
+LIMIT_PER_S = (0.5, 4.0)
+"""Ranges of the time between the limits that endpoints name, of how long, and of the limits."""
+
 LEAVING_RATIO = 0.15
 """Ratio of the requests whose callers leave before they can be answered."""
 
@@ -77,6 +97,8 @@
         # faults of a seed.
         self._random = random.Random(seed)
         self._callers_random = random.Random(seed)
+        self._limits_random = random.Random(seed)
+        self._taken_up: Counter[int] = Counter()
         self._request_count = 0
         self._faults_ended = False
         self._faults: list[str] = []
@@ -88,8 +110,10 @@
         try:
             await self._wait_until_ready()
             callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
+            limits = asyncio.create_task(self._limit_endpoints())
             await self._inject_faults()
             self._faults_ended = True
+            await limits
             await asyncio.wait(callers)
             await self._check_recovery()
         finally:
@@ -100,7 +124,11 @@
     def describe(self) -> str:
         """Return the faults injected, in order, and the count of responses by status."""
         count_by_status = dict(sorted(self.fleet.checker.count_by_status.items()))
-        return f"{len(self._faults)} faults ({', '.join(self._faults)}); {count_by_status}"
+        taken_up = dict(sorted(self._taken_up.items()))
+        return (
+            f"{len(self._faults)} faults ({', '.join(self._faults)}); {count_by_status}; "
+            f"taken up {taken_up}"
+        )
 
     # Callers
 
@@ -123,6 +151,8 @@
             key = self._callers_random.choice(("key-one", "key-two"))
             if self._callers_random.random() < LEAVING_RATIO:
                 await self._send_and_leave(machine, kind, key)
+            elif self._callers_random.random() < TAKE_UP_RATIO:
+                self._taken_up[await self._begin_and_take_up(machine, key)] += 1
             elif await self._send_and_check(machine, kind, key, client=client) == 0:
                 client = None
             await asyncio.sleep(self._callers_random.uniform(0.01, 0.1))
@@ -153,9 +183,7 @@
         checker.record_status(request_id, answer.status, is_repeatable=is_repeatable)
         if answer.status == 200:
             is_stream = kind in ("chat", "draft")
-            expected = (
-                b"".join(events_for(request_id)) if is_stream else f"done {request_id}".encode()
-            )
+            expected = stream_bodies(request_id) if is_stream else [f"done {request_id}".encode()]
             checker.check_body(request_id, body, expected)
             self._check_key_revocation(machine, key, request_id, sent_s)
         return answer.status
@@ -176,6 +204,61 @@
         if not self._is_held_up(machine, left_s):
             self.fleet.checker.left_s_by_id[request_id] = left_s
 
+    async def _begin_and_take_up(self, machine: Machine, key: str) -> int:
+        """Begin a stream, drop its connection and take it up at any entry.
+
+        Returns the status of the second answer, or 0 if one of both was not received.
+        """
+        request_id, headers = self._next_request("draft", key)
+        first = await self._receive_events(machine, headers, EVENTS_BEFORE_TAKE_UP)
+        if first is None or first[1].count(b"\n\n") < EVENTS_BEFORE_TAKE_UP:
+            return 0
+        begun = b"".join(event + b"\n\n" for event in first[1].split(b"\n\n")[:-1])
+        second_id, _ = self._next_request("draft", key)
+        headers = [pair for pair in headers if pair[0] != b"x-attempt-id"]
+        headers += [
+            (b"x-attempt-id", second_id.encode()),
+            (b"resumes", request_id.encode()),
+            (b"last-event-id", str(begun.count(b"\n\n")).encode()),
+        ]
+        second = await self._receive_events(
+            self._callers_random.choice(self.fleet.entries), headers, None
+        )
+        if second is None:
+            return 0
+        status, rest = second
+        if status == 200:
+            wholes = [
+                b"".join(events_for(request_id, version)[: begun.count(b"\n\n")])
+                + b"".join(events_for(second_id, version)[begun.count(b"\n\n") :])
+                for version in SOFTWARE_VERSIONS
+            ]
+            self.fleet.checker.check_body(second_id, begun + rest, wholes)
+        return status
+
+    async def _receive_events(
+        self, machine: Machine, headers: list[tuple[bytes, bytes]], count: int | None
+    ) -> tuple[int, bytes] | None:
+        """Return the status and the body after *count* events, or the whole one without a count.
+
+        Returns None if it was not received.
+        """
+        client, body = HttpClient(f"{machine.ip}:{machine.front_address[1]}"), b""
+        try:
+            answer = await client.request(
+                "POST", "/draft/x", headers=headers, timeout_ms=ANSWER_TIMEOUT_MS
+            )
+            async for data in answer.iter_body(timeout_ms=ANSWER_TIMEOUT_MS):
+                body += data
+                if count is not None and body.count(b"\n\n") >= count:
+                    answer.close()
+                    break
+            return answer.status, body
+        except (LinkLost, h11.LocalProtocolError):
+            return None
+        finally:
+            client.close()
+
     def _is_held_up(self, machine: Machine, now_s: float) -> bool:
         """Return whether a fault may delay a close, or a request on its way to an endpoint."""
         is_desk_troubled = any(proxy.fault is not Fault.NONE for proxy in self.fleet.proxies)
@@ -246,6 +329,20 @@
             await asyncio.sleep(self._random.uniform(0.1, 1.5))
         await asyncio.wait(fault_tasks)
 
+    async def _limit_endpoints(self) -> None:
+        """Let one endpoint after the other name a limit, until the faults end."""
+        rng, loop = self._limits_random, asyncio.get_running_loop()
+        end_s = loop.time() + FAULT_PHASE_S
+        while loop.time() < end_s:
+            await asyncio.sleep(rng.uniform(*LIMIT_PAUSE_S))
+            endpoint: Endpoint = rng.choice(self.fleet.endpoints)
+            endpoint.limit_per_s = rng.uniform(*LIMIT_PER_S)
+            checker = self.fleet.checker
+            checker.limit_by_endpoint[endpoint.name] = (endpoint.limit_per_s, loop.time())
+            await asyncio.sleep(rng.uniform(*LIMIT_DURATION_S))
+            endpoint.limit_per_s = None
+            del checker.limit_by_endpoint[endpoint.name]
+
     def _pick_machine(self) -> Machine:
         return self._random.choice(self.fleet.machines)
 
@@ -313,6 +410,15 @@
             machine = self.fleet.entries[number % len(self.fleet.entries)]
             kind = ("chat", "draft", "look", "pay")[number % 4]
             served_count += await self._send_and_check(machine, kind, "key-one") == 200
+        entries = self.fleet.entries
+        statuses = [
+            await self._begin_and_take_up(entries[number % len(entries)], "key-one")
+            for number in range(TAKE_UPS)
+        ]
+        if statuses.count(200) < MIN_TAKEN_UP_RATIO * TAKE_UPS:
+            self.fleet.checker.violations.append(
+                f"of {TAKE_UPS} streams {statuses.count(200)} were taken up after the recovery"
+            )
         if served_count < MIN_RECOVERED_RATIO * PROBES:
             self.fleet.checker.violations.append(
                 f"{served_count} of {PROBES} served after the recovery"
