Divide the connections that an endpoint accepts among the entries

The connections that an endpoint accepts from all callers together were decoded and not used: each entry kept up to 24 idle ones, so 22 entries could hold 528 where 190 are accepted, and further connections are reset. Evidence: a test with four accepted connections found 8 idle ones (the guard's run on the code without it). Change: entries together keep at most half of them idle, at least one each.

--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -19,7 +19,7 @@
 from skylarkrack.relay._codec import RelayCodec
 from skylarkrack.relay._config_sync import ConfigSync
 from skylarkrack.relay._context import EntryContext
-from skylarkrack.relay._endpoint_clients import EndpointClients
+from skylarkrack.relay._endpoint_clients import EndpointClients, max_idle_of
 from skylarkrack.relay._gossip import RETRY_SLACK_SHARE, TICK_MS, Gossip
 from skylarkrack.relay._placement_queue import PlacementQueue
 from skylarkrack.relay._registry import StepExchange
@@ -206,11 +206,23 @@
             now_ms = monotonic_ms()
             self.registry.advance(now_ms)
             self._gossip.send_due(now_ms)
+            self._share_connections()
             slept_from_ms = monotonic_ms()
             await asyncio.sleep(TICK_MS / 1000)
             lag_ms = monotonic_ms() - slept_from_ms - TICK_MS
             self._context.metrics.observe_ms("event_loop_lag_ms", lag_ms)
 
+    def _share_connections(self) -> None:
+        """Divide the connections that endpoints accept among the live entries."""
+        table, entries = self._dispatcher.table, self._gossip.count_entries()
+        if table is not None:
+            self._context.clients.set_max_idle(
+                {
+                    name: max_idle_of(service.max_connections, entries)
+                    for name, service in table.service_by_name.items()
+                }
+            )
+
     def _apply_table(self, table: RoutingTable, document: bytes) -> None:
         self._config_sync.store(document)
         organisations = (table.organisation_by_digest or {}).values()
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -96,14 +96,17 @@
 
 
 class HttpClient:
-    """Sends requests to one address; up to *max_idle* idle connections are kept for reuse."""
+    """Sends requests to one address; up to *max_idle* idle connections are kept for reuse.
 
-    __slots__ = ("_host", "_idle", "_max_idle", "_port")
+    A lower *max_idle* takes effect as connections become idle.
+    """
+
+    __slots__ = ("_host", "_idle", "_port", "max_idle")
 
     def __init__(self, address: str, *, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
         self._host, self._port = split_address(address)
         self._idle: list[ClientConnection] = []
-        self._max_idle = max_idle
+        self.max_idle = max_idle
 
     async def request(
         self,
@@ -151,7 +154,7 @@
         """
         connection = await self._connect(timeout_ms)
         connection.idle_since_s = asyncio.get_running_loop().time()
-        if len(self._idle) < self._max_idle:
+        if len(self._idle) < self.max_idle:
             self._idle.append(connection)
         else:
             connection.close()
@@ -159,7 +162,7 @@
     def put_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose response was read to its end, or close it if not reusable."""
         now_s = asyncio.get_running_loop().time()
-        if len(self._idle) < self._max_idle and connection.prepare_reuse(now_s):
+        if len(self._idle) < self.max_idle and connection.prepare_reuse(now_s):
             self._idle.append(connection)
         else:
             connection.close()
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -5,6 +5,7 @@
 import unittest
 
 from skylarkrack._clock import monotonic_ms
+from skylarkrack.relay._endpoint_clients import max_idle_of
 from skylarkrack.relay._exchange import CONNECT_TIMEOUT_MS
 from standins.platform_worker import (
     PlatformWorker,
@@ -262,6 +263,26 @@
     A response that arrives late or twice on a reused connection could be taken for the next one.
     """
 
+    async def test_few_idle_connections_are_kept_to_an_endpoint_that_accepts_few(self) -> None:
+        services = [{"name": "desk", "max-conns": 4}]
+        routes = [route for route in config()["routes"] if route.get("service") == "desk"]
+        worker = PlatformWorker([answer()])
+        async with EntryHarness(worker) as harness:
+            table = config(version=2, services=services, routes=routes)
+            harness.entry.registry.table_published(as_bytes(table))
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(harness.send_raw(request()) for _ in range(8)))
+            context = harness.entry._context
+            (endpoint,) = context.dispatcher.directory.all()
+            self.assertEqual(len(context.clients.client_of(endpoint)._idle), 2)
+
+    def test_all_entries_together_stay_below_what_an_endpoint_accepts(self) -> None:
+        for entries in (1, 5, 22, 68):
+            for max_connections in (96, 250, 390):
+                with self.subTest(entries=entries, max_connections=max_connections):
+                    kept = entries * max_idle_of(max_connections, entries)
+                    self.assertLessEqual(kept, max_connections)
+
     async def test_an_extra_response_is_ignored(self) -> None:
         rows = (
             both(answer(b"first"), answer(b"first again")),
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -576,4 +576,11 @@
         without="aborted_ms = None",
         test="tests.test_relay_path.TestCallerDisconnects.test_the_adapter_of_a_cancelled_stream_stays_in_use_for_a_time",
     ),
+    Guard(
+        name="relay-idle-connections",
+        file="relay/_endpoint_clients.py",
+        code="self._max_idle_by_service.get(endpoint.service, MAX_IDLE_PER_ENDPOINT)",
+        without="MAX_IDLE_PER_ENDPOINT",
+        test="tests.test_relay_path.TestConnections.test_few_idle_connections_are_kept_to_an_endpoint_that_accepts_few",
+    ),
 )
