Split the pace of orders, the binding of streams and senders' fields out

The exchange held the origins of streams besides its own job, _rate_limits.py the agent's pace, and three exchanges wrote the same four fields of a sender. Change: _order_pace.py, StreamOriginLookup.bind and record_begin, and Peers.sender_fields.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -46,9 +46,10 @@
     idle_demand_interval_ms,
 )
 from skylarkrack.core.relay._names import AdapterId, EndpointKey
+from skylarkrack.core.relay._order_pace import OrderPace
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._quota_limiter import QuotaLimiter
-from skylarkrack.core.relay._rate_limits import OrderPace, RateLimitReport, RateLimits
+from skylarkrack.core.relay._rate_limits import RateLimitReport, RateLimits
 from skylarkrack.core.relay._segments import SegmentReport, SegmentTracker
 from skylarkrack.core.relay._store_feed import (
     FeedHistory,
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -12,8 +12,6 @@
     FinalFailure,
     PendingRequest,
     SendTo,
-    StreamOrigin,
-    stream_key,
 )
 from skylarkrack.relay._codec import ForwardParameters, ResponseClassification
 from skylarkrack.relay._context import EntryContext
@@ -139,41 +137,9 @@
         except RequestRefused as refusal:
             self._fail(refusal)
 
-    async def _find_origin(self) -> None:
-        """Bind a stream that the caller takes up to the software version that began it.
-
-        Raises `RequestRefused` if that is unknown while the service has several versions.
-        """
-        call = self.pending.call
-        if self._event_stream is None or call.resume_after is None:
-            return
-        origin = await self._context.origin_lookup.find(self._stream_key, self.pending.service_name)
-        if origin is None:
-            return
-        self.pending.software_version = origin.software_version
-        if any(service == origin.service for service, _ in self.pending.route.shares):
-            self.pending.service_name = origin.service
-
-    @property
-    def _stream_key(self) -> bytes:
-        """Key of the stream: of the attempt that began it, which may not be this one."""
-        call = self.pending.call
-        first_attempt = call.request_id
-        if call.resume_after is not None:
-            first_attempt = call.first_attempt or ""
-        return stream_key(self.pending.organisation, first_attempt)
-
-    def _record_origin(self, endpoint: Endpoint) -> None:
-        """Record the software version that began the stream, which goes on only there."""
-        self.pending.software_version = endpoint.software_version
-        if self.pending.route.is_idempotent:
-            origin = StreamOrigin(
-                service=self.pending.service_name, software_version=endpoint.software_version
-            )
-            self._context.origin_lookup.origins.record(self._stream_key, origin, monotonic_ms())
-
     async def _send_until_answered(self) -> None:
-        await self._find_origin()
+        if self._event_stream is not None:
+            await self._context.origin_lookup.bind(self.pending)
         while True:
             self._check_sendable()
             placement = await self._place()
@@ -414,7 +380,7 @@
                     continue
                 if is_first:
                     is_first, first_ms = False, monotonic_ms()
-                    self._record_origin(endpoint)
+                    self._context.origin_lookup.record_begin(self.pending, endpoint)
                     self._overdue_timer.cancel()
                     health.record_response(endpoint.key, first_ms - head_ms, first_ms)
                 elif not has_survived and monotonic_ms() - first_ms >= SURVIVED_MS:
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -77,6 +77,16 @@
 
     # Queries
 
+    @property
+    def sender_fields(self) -> dict[str, object]:
+        """The fields by which an entry's messages name their sender."""
+        return {
+            "vm": self.own.vm,
+            "address": self.own.address,
+            "domain": self.own.domain,
+            "passes_on": self.own.passes_on,
+        }
+
     def alive(self, role: str) -> list[ProcessContact]:
         """Return the live members of *role*, that is, those that sent a message recently."""
         return self._membership.alive(role, monotonic_ms())
--- a/src/skylarkrack/relay/_rate_limit_exchange.py
+++ b/src/skylarkrack/relay/_rate_limit_exchange.py
@@ -79,24 +79,16 @@
         return bool(message.answers)
 
     def _permits(self, *, asked: list = (), answers: list = ()) -> SendPermits:
-        own = self._peers.own
         return SendPermits(
-            vm=own.vm,
-            address=own.address,
-            domain=own.domain,
-            passes_on=own.passes_on,
+            **self._peers.sender_fields,
             asked=list(asked),
             answers=list(answers),
         )
 
     def _messages(self, reports: list[RateLimitReport]) -> Iterator[EndpointRateLimits]:
-        own = self._peers.own
         for first in range(0, len(reports), MAX_LIMITS_PER_MESSAGE):
             yield EndpointRateLimits(
-                vm=own.vm,
-                address=own.address,
-                domain=own.domain,
-                passes_on=own.passes_on,
+                **self._peers.sender_fields,
                 limits=[_row(report) for report in reports[first : first + MAX_LIMITS_PER_MESSAGE]],
             )
 
--- a/src/skylarkrack/relay/_segment_reports.py
+++ b/src/skylarkrack/relay/_segment_reports.py
@@ -45,12 +45,8 @@
         self._tracker.receive_report(report, now_ms)
 
     def _message(self, report: SegmentReport) -> SuspectSegments:
-        own = self._peers.own
         return SuspectSegments(
-            vm=own.vm,
-            address=own.address,
-            domain=own.domain,
-            passes_on=own.passes_on,
+            **self._peers.sender_fields,
             losses=[[crash_id, sorted(segments)] for crash_id, segments in report.losses],
             quarantines=[[sorted(group), round(ms)] for group, ms in report.quarantines],
             sound=list(report.sound),
--- a/src/skylarkrack/relay/_stream_origin_exchange.py
+++ b/src/skylarkrack/relay/_stream_origin_exchange.py
@@ -77,12 +77,8 @@
         return {contact.vm: contact.address for contact in self._peers.alive(ENTRY)}
 
     def _message(self, *, begun: list = (), asked: list = (), answers: list = ()) -> BegunStreams:
-        own = self._peers.own
         return BegunStreams(
-            vm=own.vm,
-            address=own.address,
-            domain=own.domain,
-            passes_on=own.passes_on,
+            **self._peers.sender_fields,
             begun=list(begun),
             asked=list(asked),
             answers=list(answers),
--- a/src/skylarkrack/relay/_stream_origin_lookup.py
+++ b/src/skylarkrack/relay/_stream_origin_lookup.py
@@ -5,7 +5,13 @@
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, RequestRefused
-from skylarkrack.core.relay import StreamOrigin, StreamOrigins
+from skylarkrack.core.relay import (
+    Endpoint,
+    PendingRequest,
+    StreamOrigin,
+    StreamOrigins,
+    stream_key,
+)
 
 LOOKUP_TIMEOUT_MS = 150.0
 """Time to wait for the answers of other entries; round trips take a few milliseconds."""
@@ -36,6 +42,29 @@
         self._question_by_key: dict[bytes, _Question] = {}
         self.on_ask: Callable[[bytes, str], int] = lambda key, service: 0
 
+    async def bind(self, pending: PendingRequest) -> None:
+        """Bind a stream that a caller takes up to the software version that began it.
+
+        Raises `RequestRefused` as `find` does.
+        """
+        if pending.call.resume_after is None:
+            return
+        origin = await self.find(_key_of(pending), pending.service_name)
+        if origin is None:
+            return
+        pending.software_version = origin.software_version
+        if any(service == origin.service for service, _ in pending.route.shares):
+            pending.service_name = origin.service
+
+    def record_begin(self, pending: PendingRequest, endpoint: Endpoint) -> None:
+        """Bind a stream to the endpoint's version, as it wrote the first event of this answer."""
+        pending.software_version = endpoint.software_version
+        if pending.route.is_idempotent:
+            origin = StreamOrigin(
+                service=pending.service_name, software_version=endpoint.software_version
+            )
+            self.origins.record(_key_of(pending), origin, monotonic_ms())
+
     async def find(self, key: bytes, service: str) -> StreamOrigin | None:
         """Return the origin of a stream; None if it is unknown, but the service has one version.
 
@@ -74,3 +103,10 @@
             return None, question.is_mixed
         finally:
             self._question_by_key.pop(key, None)
+
+
+def _key_of(pending: PendingRequest) -> bytes:
+    """Return the key of a request's stream, which an earlier request may have begun."""
+    call = pending.call
+    first_attempt = call.request_id if call.resume_after is None else call.first_attempt
+    return stream_key(pending.organisation, first_attempt or "")
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -550,8 +550,8 @@
     ),
     Guard(
         name="relay-software-version-in-answer",
-        file="relay/_exchange.py",
-        code="        self.pending.software_version = endpoint.software_version\n",
+        file="relay/_stream_origin_lookup.py",
+        code="        pending.software_version = endpoint.software_version\n",
         without="",
         test="tests.test_relay_stream_origins.TestWithinOneAnswer.test_a_broken_stream_does_not_go_on_at_another_version",
     ),
