--- a/tests/relay_fleet_simulation.py
+++ b/tests/relay_fleet_simulation.py
@@ -36,7 +36,11 @@
 
 @dataclass(slots=True, eq=False)
 class SimulatedEngine:
-    """An engine with its agent. *limit_at* returns the limit in ms of the simulation's time."""
+    """An engine with its agent.
+
+    *limit_at* returns the requests a second that it accepts at a time in ms. *got_ms* are the times
+    of the requests and orders that reached it, *recent* the adapters that it has held.
+    """
 
     key: EndpointKey
     scheduler: AdapterScheduler
@@ -53,7 +57,7 @@
 
 @dataclass(slots=True, eq=False)
 class SimulatedEntry:
-    """An entry; *pending* are the requests that wait for its decisions."""
+    """An entry; *heard* holds the number of the last broadcast of each engine's agent."""
 
     vm: str
     dispatcher: Dispatcher
@@ -61,7 +65,11 @@
 
 
 class FleetSimulation:
-    """Entries before engines. Time is in ms; *limit_at_by_engine* maps numbers of engines."""
+    """Entries before engines, with a Zipf-like demand for adapters. Times are in ms.
+
+    *limit_at_by_engine* holds the limits of engines, by number; the others have none. *outcomes*
+    holds for each request its arrival, how long it waited, and whether it was sent or refused.
+    """
 
     def __init__(
         self,
