Derive the addresses of live entries in one place, and only when asking

Ruled out: keeping the map as state, which membership would have to maintain. Change: Peers.address_by_entry serves both; permits look it up only for an endpoint whose home is to be asked. A name in the simulated fleet said the opposite of what it holds. Behaviour is unchanged.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -6,13 +6,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import (
-    Attempts,
-    Endpoint,
-    FinalFailure,
-    PendingRequest,
-    SendTo,
-)
+from skylarkrack.core.relay import Attempts, Endpoint, FinalFailure, PendingRequest, SendTo
 from skylarkrack.relay._codec import ForwardParameters, ResponseClassification
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._event_stream import EventStream
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -91,6 +91,10 @@
         """Return the live members of *role*, that is, those that sent a message recently."""
         return self._membership.alive(role, monotonic_ms())
 
+    def address_by_entry(self) -> dict[str, str]:
+        """Return the addresses of the live entries by VM, without this process."""
+        return {contact.vm: contact.address for contact in self.alive(ENTRY)}
+
     # Commands
 
     async def start(self) -> None:
--- a/src/skylarkrack/relay/_rate_limit_exchange.py
+++ b/src/skylarkrack/relay/_rate_limit_exchange.py
@@ -7,7 +7,7 @@
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import EndpointKey, RateLimitReport, RateLimits
 from skylarkrack.messages import EndpointRateLimits, SendPermits
-from skylarkrack.relay._peers import ENTRY, Peers
+from skylarkrack.relay._peers import Peers
 
 MAX_LIMITS_PER_MESSAGE = 200
 """Endpoints in one message; further ones are sent in further messages."""
@@ -29,7 +29,7 @@
     def send_due(self, agent_address_by_endpoint: dict[str, str], now_ms: float) -> None:
         """Send the reports that are due to all entries, and to the agents of their endpoints."""
         own = self._peers.own.vm
-        entries = [own, *(contact.vm for contact in self._peers.alive(ENTRY))]
+        entries = [own, *self._peers.address_by_entry()]
         self._limits.set_entries(own, entries, now_ms)
         reports = self._limits.take_reports(now_ms)
         for message in self._messages(reports):
@@ -41,9 +41,11 @@
 
     def ask(self, waiting_by_key: Mapping[EndpointKey, int], now_ms: float) -> None:
         """Ask the homes of endpoints for permits for the requests that wait there."""
-        address_by_vm = {contact.vm: contact.address for contact in self._peers.alive(ENTRY)}
         for key, waiting in waiting_by_key.items():
-            address = address_by_vm.get(self._limits.ask(key, now_ms))
+            home = self._limits.ask(key, now_ms)
+            if home is None:
+                continue
+            address = self._peers.address_by_entry().get(home)
             if address is not None:
                 self._peers.send(self._permits(asked=[[*key, waiting]]), address)
 
--- a/src/skylarkrack/relay/_stream_origin_exchange.py
+++ b/src/skylarkrack/relay/_stream_origin_exchange.py
@@ -9,7 +9,7 @@
     homes_of,
 )
 from skylarkrack.messages import BegunStreams
-from skylarkrack.relay._peers import ENTRY, Peers
+from skylarkrack.relay._peers import Peers
 from skylarkrack.relay._stream_origin_lookup import StreamOriginLookup
 
 MAX_STREAMS_PER_MESSAGE = 500
@@ -36,7 +36,7 @@
         unsent = self._lookup.origins.take_unsent(now_ms)
         if not unsent:
             return
-        address_by_vm = self._address_by_vm()
+        address_by_vm = self._peers.address_by_entry()
         rows_by_vm: dict[str, list] = {}
         for key, origin in unsent:
             for vm in homes_of(key, address_by_vm, ORIGIN_COPIES):
@@ -49,7 +49,7 @@
 
     def ask(self, key: bytes, service: str) -> int:
         """Ask other entries for the origin of a stream; return how many were asked."""
-        address_by_vm = self._address_by_vm()
+        address_by_vm = self._peers.address_by_entry()
         asked = homes_of(key, address_by_vm, MAX_ASKED)
         message = self._message(asked=[[key, service]])
         self._peers.send(message, *(address_by_vm[vm] for vm in asked))
@@ -73,9 +73,6 @@
                 origin = StreamOrigin(service=service, software_version=version)
             self._lookup.receive_answer(key, origin, is_mixed=is_mixed)
 
-    def _address_by_vm(self) -> dict[str, str]:
-        return {contact.vm: contact.address for contact in self._peers.alive(ENTRY)}
-
     def _message(self, *, begun: list = (), asked: list = (), answers: list = ()) -> BegunStreams:
         return BegunStreams(
             **self._peers.sender_fields,
--- a/tests/relay_fleet_simulation.py
+++ b/tests/relay_fleet_simulation.py
@@ -91,8 +91,8 @@
         service = Service(name="engines", max_connections=250, engine=shape)
         self.engines = {}
         for number, one in enumerate(known):
-            unlimited = limit_at_by_engine.get(number, lambda ms: math.inf)
-            engine = SimulatedEngine(one.key, AdapterScheduler(fence=1), unlimited)
+            limit_at = limit_at_by_engine.get(number, lambda ms: math.inf)
+            engine = SimulatedEngine(one.key, AdapterScheduler(fence=1), limit_at)
             engine.resident[MODEL, ""] = 1
             engine.scheduler.set_capacity(
                 EngineCapacity(
