Count the messages that an entry receives, by type

Nothing told whether an entry keeps up with its peers' messages: the delay of the event loop stays at some ms while messages wait in the socket.

--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -210,6 +210,7 @@
     # Receiving
 
     def _on_message(self, message: object, now_ms: float) -> None:
+        self._context.metrics.count("messages_received_total", type(message).__name__)
         if isinstance(message, RelayState):
             self._receive_state(message, now_ms)
         elif isinstance(message, EngineSnapshot):
