Handle all messages that have arrived in one round of the event loop

Callers of an entry that was in touch were served by a configuration that had been replaced 3.34 s before (3 s are allowed).

Cause: asyncio's datagram transport reads one datagram in each round of the event loop. Everything that an entry learns from peers was old: the versions that they have, the steps of the entry that reads the store, the figures of agents. Steps that are late by seconds still arrive at a steady pace, so a follower takes its reader for alive and does not read the store itself. The delay of the event loop, which is logged nowhere and shown by event_loop_lag_ms, stayed at some ms.

Ruled out: the link (1 of 5 Mbit/s was used) and the store (b-5 logged no trouble with it and was not cut off).

Change: a socket of our own, which is read until nothing is left, at most 128 datagrams in a round so that requests proceed. A message whose handling fails, for whatever reason, no longer leaves the ones behind it to the next round.

--- a/src/skylarkrack/relay/_datagrams.py
+++ b/src/skylarkrack/relay/_datagrams.py
@@ -2,9 +2,14 @@
 
 A lost or late datagram is repaired by the next one. A path that fails shows as a silent sender,
 and there is no connection that could seem open while it is dead. Larger data goes over a stream.
+
+All datagrams that have arrived are handled in one round of the event loop. With one in each round,
+as asyncio's transport reads them, a process whose rounds are long falls behind its peers: messages
+wait in the socket, arrive seconds old, and look like those of live senders.
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from skylarkrack._addresses import split_address
@@ -16,37 +21,70 @@
 """Bound on an encoded message; sending a larger one raises `ValueError`."""
 
 
-class Datagrams(asyncio.DatagramProtocol):
+MAX_DATAGRAMS_PER_ROUND = 128
+"""Datagrams handled in one round of the event loop, so that requests proceed between them."""
+
+_RECEIVE_BYTES = 65_536
+
+
+class Datagrams:
     """Sends and receives typed messages on one address.
 
     *rejected* counts the datagrams that could not be decoded, handled or delivered. *sent_bytes*
-    counts the bytes sent.
+    counts the bytes sent, and *full_rounds* the rounds of the event loop that may have left
+    datagrams unread.
     """
 
-    __slots__ = ("_handle", "_transport", "rejected", "sent_bytes")
+    __slots__ = ("_handle", "_loop", "_socket", "full_rounds", "rejected", "sent_bytes")
 
     def __init__(self, handle: Callable[[object, bytes, str], None]) -> None:
         """Call *handle* with each message, its bytes, and the address of the sender, `IP:port`."""
         self._handle = handle
-        self._transport: asyncio.DatagramTransport | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._socket: socket.socket | None = None
+        self.full_rounds = 0
         self.rejected = 0
         self.sent_bytes = 0
 
     async def start(self, address: str) -> None:
         """Listen on *address* (`IP:port`); raises `OSError` if it is not available."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        bound = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            bound.setblocking(False)
+            bound.bind((host, port))
+        except OSError:
+            bound.close()
+            raise
+        self._socket = bound
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(bound, self._receive_arrived)
 
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        """Store the transport of the socket."""
-        self._transport = transport
-
-    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _receive_arrived(self) -> None:
+        """Handle the datagrams that have arrived, up to `MAX_DATAGRAMS_PER_ROUND`."""
+        for _ in range(MAX_DATAGRAMS_PER_ROUND):
+            if self._socket is None:
+                return
+            try:
+                data, address = self._socket.recvfrom(_RECEIVE_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                # Nothing listens at an address that was sent to; its silence shows that too.
+                self.rejected += 1
+                continue
+            self._receive(data, address)
+        self.full_rounds += 1
+
+    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode a message and pass it to the handler; invalid ones are counted and logged."""
         sender = f"{address[0]}:{address[1]}"
         try:
@@ -57,18 +95,11 @@
             return
         try:
             self._handle(message, data, sender)
-        except (TypeError, ValueError, LookupError, AttributeError) as error:
+        except Exception as error:  # noqa: BLE001 - one message must not hold up those behind it
             # Decoding checks the types of fields. Rows in a field are checked only on use.
             self.rejected += 1
             log(Event.HANDLER_FAILED, sender=sender, error=repr(error))
 
-    def error_received(self, error: OSError) -> None:
-        """Count a datagram that could not be delivered.
-
-        Nothing listens at the address now; membership detects that by the silence of the member.
-        """
-        self.rejected += 1
-
     def send_to(self, message: object, addresses: tuple[str, ...]) -> None:
         """Send a message to several addresses; raises `ValueError` above `MAX_DATAGRAM_BYTES`."""
         self.send_bytes(encode_body(message), addresses)
@@ -77,6 +108,13 @@
         """Send an encoded message to several addresses; raises `ValueError` as `send_to` does."""
         if len(data) > MAX_DATAGRAM_BYTES:
             raise ValueError(f"a message of {len(data)} bytes is too large for a datagram")
+        if self._socket is None:
+            return
         for address in addresses:
-            self._transport.sendto(data, split_address(address))
+            try:
+                self._socket.sendto(data, split_address(address))
+            except OSError:
+                # The send buffer is full, or there is no path now; the next message repairs it.
+                self.rejected += 1
+                continue
             self.sent_bytes += len(data)
--- a/src/skylarkrack/relay/_peers.py
+++ b/src/skylarkrack/relay/_peers.py
@@ -117,6 +117,11 @@
         """Return the addresses of the live agents by VM."""
         return {contact.vm: contact.address for contact in self.alive(AGENT)}
 
+    @property
+    def full_rounds(self) -> int:
+        """How many rounds of the event loop left messages unread that had arrived."""
+        return self._datagrams.full_rounds
+
     def alive(self, role: str) -> list[ProcessContact]:
         """Return the live members of *role*, that is, those that sent a message recently."""
         return self._membership.alive(role, monotonic_ms())
