Keep an odd entry in the store from ending the reading of it

Report of other operators: another writer left one odd entry among those of the workers, and the machines that read the list ended again and again, or stopped following it. Nothing logged it. From then on no change reached that process (CONFIG, DRAIN) while it said that it was ready.

Cause: the decoders checked types, not whether the value can be used, and their callers caught DocumentRejected only. An integer of more than 64 bits can't be packed into a message, one of 400 digits is no float, a port of 70,000 raises OverflowError on connecting, a lone surrogate can't be encoded, and the message of a rejection ran into the recursion limit on showing a deeply nested value.

Change: integers up to 2**53, finite numbers, printable text of bounded length, IP numbers with a port; values in messages are cut in length and depth. A peer's step leaves out registrations that this build would reject and has the store read instead. A step that doesn't fit into a datagram goes out empty, so that followers read. What still raises is logged (WATCH_FAILED) and the prefix listed anew. A rejected entry is logged once for each reason, not with each heartbeat.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -100,6 +100,8 @@
     ENDPOINT_SPEED_CHANGED = 763
     REPORTED_LOAD_REJECTED = 764
     HEALTH_PROBED = 767
+    WATCH_FAILED = 768
+    STEP_TOO_LARGE = 769
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/platform/_documents.py
+++ b/src/skylarkrack/platform/_documents.py
@@ -1,14 +1,17 @@
 """Decoders of the platform's JSON documents: configuration, registrations, versions and reports.
 
 Each field is checked, since other programs write into the store too: any field may be missing or
-have another type. An invalid document raises `DocumentRejected`, and the last valid one stays in
-force.
+have another type, and a value of the right type may be one that can't be used, such as a number
+that doesn't fit into a message. An invalid document raises `DocumentRejected`, and the last valid
+one stays in force.
 """
 
 import json
 import math
 import re
+import reprlib
 
+from skylarkrack._addresses import is_address
 from skylarkrack.core.relay import (
     CallerLimits,
     Endpoint,
@@ -40,7 +43,27 @@
 """Memory of an engine whose configuration sets no limit."""
 
 
+MAX_INTEGER = 2**53 - 1
+"""Largest integer in a document that is accepted; every JSON parser reads it exactly, and messages
+between processes can hold it."""
+
+MAX_TEXT_LENGTH = 1000
+"""Longest string in a document that is accepted; names and addresses are far shorter."""
+
+MAX_VERSION_DIGITS = 15
+"""Digits of an adapter's version that are accepted, which keeps it below `MAX_INTEGER`."""
+
 _PATH = re.compile(r"/[!-~]{0,999}", re.ASCII)
+_ENDPOINT_ID = re.compile(r"[!-~]{1,200}", re.ASCII)
+
+# Values in error messages are cut in length and in depth.
+_SHOWN = reprlib.Repr()
+_SHOWN.maxlevel = 2
+_SHOWN.maxstring = _SHOWN.maxlong = _SHOWN.maxother = 60
+
+
+MAX_SHOWN_ERROR = 100
+"""Characters of a parser's error that are shown."""
 
 
 class DocumentRejected(ValueError):
@@ -52,7 +75,7 @@
     try:
         value = json.loads(data)
     except (ValueError, RecursionError) as error:
-        raise DocumentRejected(f"not valid JSON: {error}") from error
+        raise DocumentRejected(f"not valid JSON: {str(error)[:MAX_SHOWN_ERROR]}") from error
     if not isinstance(value, dict):
         raise DocumentRejected("not a JSON object")
     return value
@@ -85,15 +108,16 @@
     `born` is the calendar time of its start in ms, `cold-left-ms` the time for which it is still
     slow after its start. `version` is that of the endpoint's software, not of an adapter.
     """
+    if not _ENDPOINT_ID.fullmatch(endpoint_id):
+        raise DocumentRejected(f"the id is {_SHOWN.repr(endpoint_id)}, not 1 to 200 of ASCII")
     document = decode_json(data)
     software_version = document.get("version")
     state = _string(document, "state")
     if state not in ("ready", "draining"):
-        raise DocumentRejected(f"state is {state!r}, not ready or draining")
+        raise DocumentRejected(f"state is {_SHOWN.repr(state)}, not ready or draining")
     address = _string(document, "addr")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DocumentRejected(f"addr is {address!r}, not HOST:PORT")
+    if not is_address(address):
+        raise DocumentRejected(f"addr is {_SHOWN.repr(address)}, not IP:PORT")
     models = document.get("models")
     return Endpoint(
         endpoint_id=endpoint_id,
@@ -103,11 +127,11 @@
         slots=_integer(document, "slots"),
         started_ms=_integer(document, "born"),
         is_leaving=state == "draining",
-        warmup_left_ms=_number(document, "cold-left-ms", 0.0),
+        warmup_left_ms=max(0.0, _number(document, "cold-left-ms", 0.0)),
         adapters_by_model=(
             None if models is None else _adapters_by_model(_object_list(document, "models"))
         ),
-        software_version=software_version if isinstance(software_version, str) else "",
+        software_version=software_version if _is_text(software_version) else "",
     )
 
 
@@ -152,14 +176,19 @@
     if not isinstance(rows, list):
         return None
     try:
-        return tuple((str(row[0]), max(0, int(row[1])), max(0, int(row[2]))) for row in rows)
-    except (TypeError, ValueError, LookupError, OverflowError):
+        runs = [(str(row[0]), max(0, int(row[1])), max(0, int(row[2]))) for row in rows]
+    except (TypeError, ValueError, LookupError, OverflowError, RecursionError):
         return None
+    is_usable = all(
+        _is_text(request_id) and max(tokens, events) <= MAX_INTEGER
+        for request_id, tokens, events in runs
+    )
+    return tuple(runs) if is_usable else None
 
 
 def _count(document: dict, name: str) -> int:
     value = document.get(name)
-    return value if isinstance(value, int) and value >= 0 else 0
+    return value if isinstance(value, int) and 0 <= value <= MAX_INTEGER else 0
 
 
 def _adapters_by_model(models: list[dict]) -> dict[str, dict[str, int]]:
@@ -173,7 +202,8 @@
 def _parse_adapter(versioned_name: str) -> tuple[str, int]:
     """Split NAME@VERSION; a missing or invalid version is 0."""
     name, _, version = versioned_name.partition("@")
-    return name, int(version) if version.isdigit() else 0
+    is_version = version.isascii() and version.isdigit() and len(version) <= MAX_VERSION_DIGITS
+    return name, int(version) if is_version else 0
 
 
 def _route(fields: dict) -> Route:
@@ -231,9 +261,9 @@
     request is ignored.
     """
     engine = _object(fields, "engine")
-    cold_start_s = _number(fields, "cold-start-s", 0.0)
-    cold_per_s = _number(fields, "cold-per-s", 0.0)
-    has_cold_bound = 0 < cold_start_s < math.inf and 0 < cold_per_s < math.inf
+    cold_start_s = _finite_or_zero(fields, "cold-start-s")
+    cold_per_s = _finite_or_zero(fields, "cold-per-s")
+    has_cold_bound = cold_start_s > 0 and cold_per_s > 0
     return Service(
         name=_string(fields, "name"),
         max_connections=int(_number(fields, "max-conns", 100.0)),
@@ -283,7 +313,7 @@
         priority = fields.get("priority")
         organisation = TableOrganisation(
             name=_string(fields, "name"),
-            priority=priority if isinstance(priority, int) else None,
+            priority=priority if _is_integer(priority) else None,
             quota=quota,
         )
         for key in _string_list(fields, "api-keys"):
@@ -302,28 +332,47 @@
 
 
 def _string(fields: dict, key: str) -> str:
-    value = fields.get(key) if isinstance(fields, dict) else None
-    if not isinstance(value, str) or not value:
-        raise DocumentRejected(f"{key} is {value!r}, not a non-empty string")
+    value = fields.get(key)
+    if not _is_text(value) or not value:
+        raise DocumentRejected(f"{key} is {_SHOWN.repr(value)}, not a non-empty string")
     return value
 
 
+def _is_text(value: object) -> bool:
+    """Return whether a value is a string that can be encoded and written to a header or the log."""
+    return isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH and value.isprintable()
+
+
 def _integer(fields: dict, key: str) -> int:
     value = fields.get(key)
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise DocumentRejected(f"{key} is {value!r}, not an integer")
+    if not _is_integer(value) or value < 0:
+        raise DocumentRejected(f"{key} is {_SHOWN.repr(value)}, not an integer of 0 and more")
     return value
 
 
+def _is_integer(value: object) -> bool:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and abs(value) <= MAX_INTEGER
+
+
 def _number(fields: dict, key: str, default: float) -> float:
+    """Return a finite number, *default* if the field is missing."""
     value = fields.get(key)
     if value is None:
         return default
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise DocumentRejected(f"{key} is {value!r}, not a number")
+    is_number = _is_integer(value) or (isinstance(value, float) and abs(value) <= MAX_INTEGER)
+    if not is_number:
+        raise DocumentRejected(f"{key} is {_SHOWN.repr(value)}, not a finite number")
     return float(value)
 
 
+def _finite_or_zero(fields: dict, key: str) -> float:
+    """Return a number, 0 if the field is missing or not finite."""
+    value = fields.get(key)
+    is_endless = isinstance(value, float) and not math.isfinite(value)
+    return 0.0 if is_endless else _number(fields, key, 0.0)
+
+
 def _object(fields: dict, key: str) -> dict:
     value = fields.get(key) or {}
     if not isinstance(value, dict):
@@ -340,6 +389,6 @@
 
 def _string_list(fields: dict, key: str) -> list[str]:
     value = fields.get(key) or []
-    if not isinstance(value, list) or not all(isinstance(element, str) for element in value):
+    if not isinstance(value, list) or not all(_is_text(element) for element in value):
         raise DocumentRejected(f"{key} is not a list of strings")
     return value
--- a/src/skylarkrack/platform/_store.py
+++ b/src/skylarkrack/platform/_store.py
@@ -135,7 +135,7 @@
             raise PlatformUnreachable(f"{path}: status {response.status}")
         try:
             page = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformUnreachable(f"{path}: not valid JSON") from error
         if not isinstance(page, dict):
             raise PlatformUnreachable(f"{path}: not a JSON object")
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -1,6 +1,7 @@
 """Watches the store, and notifies a listener of published documents and of registrations."""
 
 import asyncio
+import reprlib
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -66,6 +67,12 @@
 The reader calls more often, and passes on that the store answers again.
 """
 
+MAX_REJECTED_ENTRIES = 1000
+"""Entries remembered as rejected; beyond it all are forgotten, and logged once more."""
+
+MAX_LOGGED_KEY = 200
+"""Characters of a rejected entry's key that are logged."""
+
 SILENT_AFTER_MS = {FeedKind.REGISTRATIONS: 1200.0, FeedKind.PUBLICATIONS: 2400.0}
 """Silence of the reader after which an entry reads the store itself.
 
@@ -147,6 +154,13 @@
                     retry_ms = min(MAX_RETRY_PAUSE_MS, 2 * retry_ms)
                 else:
                     revision = await self._follow_for(FOLLOWER_RETRY_MS, revision)
+            except (
+                Exception
+            ) as error:  # noqa: BLE001 - an unforeseen value must not end the reading
+                reason = reprlib.repr(error)
+                log(Event.WATCH_FAILED, prefix=self._prefix, revision=revision, error=reason)
+                revision = None
+                await asyncio.sleep(MAX_RETRY_PAUSE_MS / 1000)
 
     async def _read_once(self, revision: int | None) -> int:
         """List the keys, or read or receive changes after *revision*; return the new revision."""
@@ -218,15 +232,38 @@
             self._change_handler.handle_reachable()
 
 
+class RejectedEntries:
+    """The entries of the store that can't be used, so that each is logged once for each reason."""
+
+    __slots__ = ("_reason_by_key",)
+
+    def __init__(self) -> None:
+        self._reason_by_key: dict[str, str] = {}
+
+    def add(self, event: Event, key: str, reason: str) -> None:
+        """Log a rejected entry, unless it was rejected for the same reason the last time."""
+        if self._reason_by_key.get(key) == reason:
+            return
+        if len(self._reason_by_key) >= MAX_REJECTED_ENTRIES:
+            self._reason_by_key.clear()
+        self._reason_by_key[key] = reason
+        log(event, key=key[:MAX_LOGGED_KEY], reason=reason)
+
+    def discard(self, key: str) -> None:
+        """Forget an entry that was removed, or that can be used."""
+        self._reason_by_key.pop(key, None)
+
+
 class PublicationHandler:
     """Decodes published documents and notifies a listener; invalid documents are only logged."""
 
-    __slots__ = ("_listener",)
+    __slots__ = ("_listener", "_rejected")
 
     kind = FeedKind.PUBLICATIONS
 
     def __init__(self, listener: RegistryListener) -> None:
         self._listener = listener
+        self._rejected = RejectedEntries()
 
     def handle_unreachable(self, reason: str) -> None:
         """Log that the store stopped answering; published documents stay in force."""
@@ -289,17 +326,20 @@
         Returns (model, adapter, version) for an announced version, else None.
         """
         if key_value.value is None:
+            self._rejected.discard(key_value.key)
             return None
+        version = None
         try:
             if key_value.key == TABLE_KEY:
                 self._listener.table_published(key_value.value)
             elif key_value.key.startswith(VERSIONS_PREFIX):
                 version = decode_version(key_value.value)
                 self._listener.adapter_published(*version)
-                return version
         except DocumentRejected as error:
-            log(Event.TABLE_REJECTED, key=key_value.key, reason=str(error))
-        return None
+            self._rejected.add(Event.TABLE_REJECTED, key_value.key, str(error))
+            return None
+        self._rejected.discard(key_value.key)
+        return version
 
 
 class RegistrationHandler(PublicationHandler):
@@ -328,7 +368,7 @@
         """
         endpoints, unreadable = [], set()
         for key_value in listing.items:
-            endpoint = _decode_registration(key_value)
+            endpoint = self._decode(key_value)
             if endpoint is None:
                 unreadable.add(key_value.key.removeprefix(REGISTRATIONS_PREFIX))
             else:
@@ -345,11 +385,12 @@
         for key_value in changes.items:
             endpoint_id = key_value.key.removeprefix(REGISTRATIONS_PREFIX)
             if key_value.value is None:
+                self._rejected.discard(key_value.key)
                 self._listener.endpoint_removed(endpoint_id)
                 endpoint_by_id.pop(endpoint_id, None)
                 removed[endpoint_id] = None
                 continue
-            endpoint = _decode_registration(key_value)
+            endpoint = self._decode(key_value)
             if endpoint is not None:
                 self._listener.endpoint_put(endpoint)
                 endpoint_by_id[endpoint_id] = endpoint
@@ -364,6 +405,17 @@
             removed=tuple(removed),
         )
 
+    def _decode(self, key_value: KeyValue) -> Endpoint | None:
+        """Return the endpoint in a registration, or None if it can't be used."""
+        endpoint_id = key_value.key.removeprefix(REGISTRATIONS_PREFIX)
+        try:
+            endpoint = decode_endpoint(endpoint_id, key_value.value)
+        except DocumentRejected as error:
+            self._rejected.add(Event.ENTRY_REJECTED, key_value.key, str(error))
+            return None
+        self._rejected.discard(key_value.key)
+        return endpoint
+
     def handle_step(self, step: FeedStep) -> None:
         """Handle registrations that a peer has read."""
         if step.restored_ago_ms is not None:
@@ -374,14 +426,6 @@
             self._listener.endpoint_removed(endpoint_id)
 
 
-def _decode_registration(key_value: KeyValue) -> Endpoint | None:
-    try:
-        return decode_endpoint(key_value.key.removeprefix(REGISTRATIONS_PREFIX), key_value.value)
-    except DocumentRejected as error:
-        log(Event.ENTRY_REJECTED, key=key_value.key, reason=str(error))
-        return None
-
-
 def watch_pause_ms(entries: int) -> float:
     """Return the pause in ms between watches of the registrations in a fleet of *entries*."""
     return min(MAX_WATCH_PAUSE_MS, max(MIN_WATCH_PAUSE_MS, WATCH_PAUSE_MS_PER_ENTRY * entries))
--- a/src/skylarkrack/relay/_store_feed.py
+++ b/src/skylarkrack/relay/_store_feed.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
+from skylarkrack._addresses import is_address
+from skylarkrack._events import Event, log
 from skylarkrack.core.relay import (
     Endpoint,
     FeedHistory,
@@ -13,6 +16,9 @@
 )
 from skylarkrack.messages import StoreStep
 
+ROW_FIELDS = 9
+"""Fields of an endpoint's row that every build sends."""
+
 
 class StoreFeed:
     """The steps that this entry sends or receives; implements `StepExchange`.
@@ -52,39 +58,47 @@
             self._history_by_kind[step.kind] = FeedHistory()
             return
         merged = self._history_by_kind[step.kind].add(step)
-        restored = merged.restored_ago_ms
-        self._send(
-            StoreStep(
-                vm=self._own.vm,
-                address=self._own.address,
-                domain=self._own.domain,
-                passes_on=self._own.passes_on,
-                kind=merged.kind.value,
-                era=merged.era,
-                base=merged.base,
-                revision=merged.revision,
-                is_complete=merged.is_complete,
-                endpoints=[_row(endpoint) for endpoint in merged.endpoints],
-                removed=list(merged.removed),
-                versions=[list(row) for row in merged.versions],
-                restored_ago_ms=-1.0 if restored is None else restored,
-            )
+        try:
+            self._send(self._message(merged))
+        except ValueError as error:
+            log(Event.STEP_TOO_LARGE, kind=step.kind.value, error=str(error))
+            empty = replace(merged, is_complete=False, endpoints=(), removed=(), versions=())
+            self._send(self._message(empty))
+
+    def _message(self, step: FeedStep) -> StoreStep:
+        restored = step.restored_ago_ms
+        return StoreStep(
+            vm=self._own.vm,
+            address=self._own.address,
+            domain=self._own.domain,
+            passes_on=self._own.passes_on,
+            kind=step.kind.value,
+            era=step.era,
+            base=step.base,
+            revision=step.revision,
+            is_complete=step.is_complete,
+            endpoints=[_row(endpoint) for endpoint in step.endpoints],
+            removed=list(step.removed),
+            versions=[list(row) for row in step.versions],
+            restored_ago_ms=-1.0 if restored is None else restored,
         )
 
     def receive(self, message: StoreStep) -> None:
         """Hand a step on to the watcher that waits for it.
 
-        Raises `ValueError`, `TypeError` or `IndexError` for one that can't be read.
+        Registrations that can't be used are left out, and the store is read instead. Raises
+        `ValueError`, `TypeError` or `IndexError` for a step that can't be read.
         """
         kind = FeedKind(message.kind)
         restored = message.restored_ago_ms
+        endpoints = [_endpoint(row) for row in message.endpoints]
         self._steps[kind] = FeedStep(
             kind=kind,
             era=message.era,
             base=message.base,
             revision=message.revision,
-            is_complete=message.is_complete,
-            endpoints=tuple(_endpoint(row) for row in message.endpoints),
+            is_complete=message.is_complete and None not in endpoints,
+            endpoints=tuple(filter(None, endpoints)),
             removed=tuple(str(endpoint_id) for endpoint_id in message.removed),
             versions=tuple((str(m), str(a), int(version)) for m, a, version in message.versions),
             restored_ago_ms=None if restored < 0 else restored,
@@ -128,15 +142,29 @@
     ]
 
 
-def _endpoint(row: list) -> Endpoint:
-    endpoint_id, service, address, domain, slots, started_ms, is_leaving, warmup_ms, rows = row[:9]
+def _endpoint(row: list) -> Endpoint | None:
+    """Return the endpoint of a row, or None if it can't be used.
+
+    An entry of another build may accept registrations that this one rejects.
+    """
+    if not isinstance(row, list) or len(row) < ROW_FIELDS:
+        return None
+    endpoint_id, service, address, domain, slots, started_ms, is_leaving, warmup_ms, rows = row[
+        :ROW_FIELDS
+    ]
     # Entries of builds before it leave out the software version.
-    software_version = row[9] if len(row) > 9 else ""
+    software_version = row[ROW_FIELDS] if len(row) > ROW_FIELDS else ""
     texts = (endpoint_id, service, address, domain, software_version)
-    if not all(isinstance(text, str) for text in texts):
-        raise ValueError("an endpoint's id, service, address, domain or version is not a string")
-    if not all(isinstance(number, int | float) for number in (slots, started_ms, warmup_ms)):
-        raise ValueError("an endpoint's slots, start or warm-up is not a number")
+    numbers = (slots, started_ms, warmup_ms)
+    are_texts = all(isinstance(text, str) for text in texts)
+    if not are_texts or not all(isinstance(number, int | float) for number in numbers):
+        return None
+    if not is_address(address):
+        return None
+    try:
+        adapters = None if rows is None else {m: dict(pairs) for m, pairs in rows.items()}
+    except (AttributeError, TypeError, ValueError):
+        return None
     return Endpoint(
         endpoint_id=endpoint_id,
         service=service,
@@ -146,6 +174,6 @@
         started_ms=started_ms,
         is_leaving=is_leaving,
         warmup_left_ms=warmup_ms,
-        adapters_by_model=None if rows is None else {m: dict(pairs) for m, pairs in rows.items()},
+        adapters_by_model=adapters,
         software_version=software_version,
     )
