Continue a stream only with events that follow its last one

Report of other operators: a stream had begun and broke off, the next worker answered with an error, and clients found the error's text in their stream, or the stream ended as if it were complete. It can happen here: a 4xx answer or a redirection with proof and blank lines in its body, and a success that is no stream, were split at the blank lines and forwarded as events, and the response then ended as complete.

Cause: every answer below 500 on a streamed route was taken for a stream, and nothing compared its first event with the last one that the caller has.

Change: only a success whose media type is that of event streams is read as one. After the first event anything else ends the attempt; before it, the endpoint's answer is forwarded whole, so that its own 404 is no 502 any more. The first event of each run has to follow the last id: a larger number, by the step of the events before where two are known. Ids that are no numbers have no order, and only a repeated one is found.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -49,6 +49,10 @@
 BASE_URGENCY = 2
 """Urgency of priority 0; lower values are reserved for requests that must precede all others."""
 
+EVENT_STREAM_TYPE = "text/event-stream"
+"""Media type of streams; a response that names none is taken for one on a streamed route."""
+
+_SUCCESS = 200
 _REDIRECTION = 300
 _SERVER_ERROR = 500
 
@@ -96,7 +100,11 @@
         self._responder = responder
         self.pending = pending
         self._attempts = Attempts(pending.route, context.retry_budget_of(pending.service_name))
-        self._event_stream = EventStream() if pending.route.is_stream else None
+        self._event_stream: EventStream | None = None
+        if pending.route.is_stream:
+            # A stream that may not be resumed begins with its first event whatever the caller says.
+            is_resumable = pending.route.is_idempotent
+            self._event_stream = EventStream(pending.call.resume_after if is_resumable else None)
         self._last_placement: SendTo | None = None
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._log = ExchangeLog(context, pending)
@@ -286,10 +294,10 @@
         self._record_load(endpoint, classification)
         if classification.was_not_run:
             await self._handle_not_run(response, endpoint, classification)
-        is_success = response.status < _SERVER_ERROR
-        if self._event_stream is not None and is_success:
+        if self._event_stream is not None and _is_event_stream(response):
             await self._forward_stream(response, placement, classification)
             return
+        is_success = response.status < _SERVER_ERROR
         self._overdue_timer.cancel()
         health, now_ms = self._context.dispatcher.health, monotonic_ms()
         if is_success:
@@ -299,8 +307,21 @@
                 dispatcher.record_latency(endpoint, now_ms - self._sent_ms, now_ms)
         else:
             health.record_failure(endpoint.key, now_ms)
+        if self._is_continuation(response):
+            reason = f"the stream did not go on: status {response.status}"
+            raise _RetryRequest(reason, was_sent=True, may_have_run=True)
         await self._forward_whole(response, placement, classification)
 
+    def _is_continuation(self, response: ClientResponse) -> bool:
+        """Return whether only further events of a stream can follow what the caller has read.
+
+        A caller that takes up a stream can be told of an error as long as nothing was forwarded.
+        """
+        if self._responder.has_started:
+            return True
+        stream = self._event_stream
+        return stream is not None and stream.last_id is not None and response.status < _REDIRECTION
+
     def _record_load(self, endpoint: Endpoint, classification: ResponseClassification) -> None:
         """Record the load that the endpoint reports, unless another one may have answered."""
         is_known_sender = classification.carries_proof or classification.was_not_run
@@ -387,6 +408,7 @@
         health, head_ms = self._context.dispatcher.health, monotonic_ms()
         is_first, has_survived, first_ms = True, False, head_ms
         intervals = self._context.dispatcher.speeds.intervals_of(endpoint)
+        self._event_stream.begin_run()
         try:
             async for data in response.iter_body(
                 timeout_ms=self._remaining_ms(head_ms) + RESPONSE_SLACK_MS
@@ -412,12 +434,10 @@
                 self._forward_events(response, whole)
         except (LinkLost, ValueError) as error:
             self._record_lost_response(endpoint)
-            self._event_stream.drop_partial()
             raise _RetryRequest(str(error), was_sent=True, may_have_run=True) from error
         if self._event_stream.has_partial or is_first:
             # A response without a length ends like this where its endpoint crashed.
             self._record_lost_response(endpoint)
-            self._event_stream.drop_partial()
             raise _RetryRequest("ended within an event", was_sent=True, may_have_run=True)
         self._responder.end()
         self._record_end(response.status, placement)
@@ -478,6 +498,13 @@
         write_refusal(self._responder, refusal, headers)
 
 
+def _is_event_stream(response: ClientResponse) -> bool:
+    """Return whether a response is a success whose body may be a stream of events."""
+    content_type = response.header(b"content-type") or EVENT_STREAM_TYPE
+    is_success = _SUCCESS <= response.status < _REDIRECTION
+    return is_success and content_type.strip().lower().startswith(EVENT_STREAM_TYPE)
+
+
 def _refusal_from(failure: FinalFailure, reason: str) -> RequestRefused:
     return RequestRefused(
         reason, code=failure.code, outcome=failure.outcome, retry_after_ms=failure.retry_after_ms
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -208,6 +208,18 @@
     return reply
 
 
+def broken_head() -> Reply:
+    """Return a reply whose head breaks off after its status."""
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        attempt_id = request.headers.get("x-attempt-id", "")
+        writer.write(f"HTTP/1.1 500 Error\r\nX-Attempt-Id: {attempt_id}\r\nX-Resp".encode())
+        await writer.drain()
+        return False
+
+    return reply
+
+
 def silence() -> Reply:
     """Return a reply that sends nothing; the connection stays open until the peer closes it."""
 
