Send a request again only on connections that have not carried it

Report of other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it had run, or such a request ran at a second worker. It can happen here: the id in an answer tells an earlier request's answer from this one's, but not an earlier answer to the same request. A request that an engine refuses is placed again, often at the same one and on the connection that became idle last, which is the one that carried it. The old refusal, written again, was then taken for the answer to the second send, and the request was sent a third time while it ran.

Change: an attempt excludes the connections on which it was answered before. An answer with its id on another connection can only belong to this send. A refusal without an id closes its connection, so that its copy reaches no other request.

--- a/src/skylarkrack/platform/_headers.py
+++ b/src/skylarkrack/platform/_headers.py
@@ -210,6 +210,7 @@
             carries_proof=has_proof and has_request_id and not is_encoded,
             lacks_adapter=is_misdirected and not is_other_endpoint,
             is_other_endpoint=is_other_endpoint,
+            names_request=has_request_id,
             is_leaving=_header_value(headers, _LEAVING) == "1",
             pause_ms=_decode_pause_ms(status, _header_value(headers, _RETRY_AFTER)),
             limit_per_s=decode_rate_limit(headers),
--- a/src/skylarkrack/relay/_codec.py
+++ b/src/skylarkrack/relay/_codec.py
@@ -44,6 +44,7 @@
     """What the head of an endpoint's response shows.
 
     *was_not_run* is True where the endpoint states that it did not and will not run the request.
+    *names_request* is True where the response holds the id of a request.
     *carries_proof* is True where the response carries the header by which the endpoint proves that
     it produced it; the proof's validity is not checked here.
     *lacks_adapter* is True where the endpoint does not hold the adapter or the version.
@@ -60,6 +61,7 @@
     carries_proof: bool
     lacks_adapter: bool
     is_other_endpoint: bool
+    names_request: bool = True
     is_leaving: bool = False
     pause_ms: float | None = None
     limit_per_s: float | None = math.inf
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -12,7 +12,7 @@
 from skylarkrack.relay._event_stream import EVENT_END, EventStream
 from skylarkrack.relay._exchange_log import ExchangeLog
 from skylarkrack.relay._refusals import CrashSuspected, write_refusal
-from skylarkrack.web import ClientResponse, Request, Responder
+from skylarkrack.web import ClientConnection, ClientResponse, Request, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
 """Bound on the time to open a connection.
@@ -80,6 +80,7 @@
     __slots__ = (
         "_attempts",
         "_context",
+        "_carriers",
         "_event_stream",
         "_is_run_over",
         "_last_placement",
@@ -106,6 +107,8 @@
             is_resumable = pending.route.is_idempotent
             self._event_stream = EventStream(pending.call.resume_after if is_resumable else None)
         self._last_placement: SendTo | None = None
+        # Connections on which the request was answered.
+        self._carriers: list[ClientConnection] = []
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._log = ExchangeLog(context, pending)
         self._sent_ms = 0.0
@@ -241,6 +244,8 @@
                 timeout_ms=self._remaining_ms(now_ms) + 2 * RESPONSE_SLACK_MS,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 max_idle_ms=None if route.is_idempotent else MAX_IDLE_NOT_REPEATABLE_MS,
+                # There an endpoint's answer to an earlier send could be taken for one to this send.
+                excluded=self._carriers,
                 is_own=self._is_own_response,
                 before_send=lambda: self._begin_send(endpoint),
             )
@@ -253,6 +258,7 @@
                 self._context.crash_tracker.record_crash(endpoint.key, now_ms)
             raise _RetryRequest(str(error), was_sent=error.sent, may_have_run=error.sent) from error
         self._sent_ms = now_ms
+        self._carriers.append(response.connection)
         return response
 
     def _is_own_response(self, headers: list) -> bool:
@@ -360,11 +366,7 @@
         """Record why the endpoint did not run the request; always raises `_RetryRequest`."""
         self._is_run_over = True
         dispatcher = self._context.dispatcher
-        try:
-            await response.read_body(timeout_ms=CONNECT_TIMEOUT_MS, total_ms=CONNECT_TIMEOUT_MS)
-        except LinkLost:
-            # Only the connection is lost; the head holds all that is needed.
-            response.close()
+        await self._finish_refusal(response, classification)
         if classification.is_other_endpoint:
             now_ms = monotonic_ms()
             dispatcher.health.record_unreachable(endpoint.key, now_ms)
@@ -377,6 +379,23 @@
         reason = f"not run: status {response.status}"
         raise _RetryRequest(reason, was_sent=True, may_have_run=False)
 
+    async def _finish_refusal(
+        self, response: ClientResponse, classification: ResponseClassification
+    ) -> None:
+        """Read the rest of a refusal, so that its connection can serve other requests.
+
+        The connection of a refusal that names no request is closed: if the endpoint wrote that
+        refusal once more, nothing would show which request it belongs to.
+        """
+        if not classification.names_request:
+            response.close()
+            return
+        try:
+            await response.read_body(timeout_ms=CONNECT_TIMEOUT_MS, total_ms=CONNECT_TIMEOUT_MS)
+        except LinkLost:
+            # Only the connection is lost; the head holds all that is needed.
+            response.close()
+
     async def _forward_whole(
         self, response: ClientResponse, placement: SendTo, classification: ResponseClassification
     ) -> None:
--- a/src/skylarkrack/web/__init__.py
+++ b/src/skylarkrack/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server and client on `h11`, for callers, endpoints and the platform."""
 
 from skylarkrack.web._client import ClientResponse, HttpClient
+from skylarkrack.web._connection import ClientConnection
 from skylarkrack.web._server import (
     Handler,
     Headers,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "ClientConnection",
     "ClientResponse",
     "Handler",
     "Headers",
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -1,7 +1,7 @@
 """An HTTP/1.1 client on `h11` with pooled connections, streamed responses and bounded waits."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 
 import h11
 
@@ -35,15 +35,18 @@
 
 
 class ClientResponse:
-    """A response whose body is still being received; close it unless it is read to its end."""
+    """A response whose body is still being received; close it unless it is read to its end.
 
-    __slots__ = ("_client", "_connection", "_is_done", "headers", "status")
+    *connection* is the connection on which it arrived.
+    """
+
+    __slots__ = ("_client", "_is_done", "connection", "headers", "status")
 
     def __init__(
         self, client: "HttpClient", connection: ClientConnection, head: h11.Response
     ) -> None:
         self._client = client
-        self._connection = connection
+        self.connection = connection
         self._is_done = False
         self.status = head.status_code
         self.headers: Headers = [(bytes(name), bytes(value)) for name, value in head.headers]
@@ -58,12 +61,12 @@
         Raises `LinkLost` if the connection fails or a wait times out before the end of the body.
         """
         while True:
-            event = await self._connection.next_event(timeout_ms)
+            event = await self.connection.next_event(timeout_ms)
             if isinstance(event, h11.EndOfMessage):
                 break
             yield bytes(event.data)
         self._is_done = True
-        self._client.put_back(self._connection)
+        self._client.put_back(self.connection)
 
     async def read_body(self, *, timeout_ms: float, total_ms: float | None = None) -> bytes:
         """Return the complete body, waiting at most *timeout_ms* for each piece.
@@ -92,7 +95,7 @@
     def close(self) -> None:
         """Close the connection if the body was not read to its end."""
         if not self._is_done:
-            self._connection.close()
+            self.connection.close()
 
 
 class HttpClient:
@@ -119,6 +122,7 @@
         connect_timeout_ms: float | None = None,
         fresh: bool = False,
         max_idle_ms: float | None = None,
+        excluded: Collection[ClientConnection] = (),
         is_own: Callable[[Headers], bool] | None = None,
         before_send: Callable[[], None] | None = None,
     ) -> ClientResponse:
@@ -127,14 +131,14 @@
         *timeout_ms* bounds the time to the end of the head, and the time to connect unless
         *connect_timeout_ms* is given. *fresh* uses a new connection, so that a failure to connect
         proves that nothing was sent; *max_idle_ms* bounds how long a reused connection may have
-        been idle. *is_own* returns whether the headers are of a response to this request; other
-        responses are skipped. *before_send* is called once there is a connection; if it raises,
-        nothing is sent.
+        been idle, and *excluded* holds connections that are not reused. *is_own* returns whether
+        the headers are of a response to this request; other responses are skipped. *before_send*
+        is called once there is a connection; if it raises, nothing is sent.
 
         Raises `LinkLost` if the connection fails, a wait times out, or too many responses were
         skipped.
         """
-        connection = None if fresh else self._take_idle(max_idle_ms)
+        connection = None if fresh else self._take_idle(max_idle_ms, excluded)
         if connection is None:
             connection = await self._connect(connect_timeout_ms or timeout_ms)
         try:
@@ -178,18 +182,22 @@
             connection.close()
         self._idle.clear()
 
-    def _take_idle(self, max_idle_ms: float | None) -> ClientConnection | None:
-        """Return the usable connection that became idle last, or None.
+    def _take_idle(
+        self, max_idle_ms: float | None, excluded: Collection[ClientConnection]
+    ) -> ClientConnection | None:
+        """Return the usable connection that became idle last and is not *excluded*, or None.
 
         Connections that have been idle for longer than *max_idle_ms* are kept for requests that
         may use them.
         """
         now_s = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle[-1]
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
             if max_idle_ms is not None and (now_s - connection.idle_since_s) * 1000 >= max_idle_ms:
                 return None
-            self._idle.pop()
+            if connection in excluded:
+                continue
+            del self._idle[index]
             if connection.is_usable and connection.is_within_keep_alive(
                 now_s, fraction=KEEP_ALIVE_USED_FRACTION
             ):
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -123,22 +123,46 @@
     return reply
 
 
-def refusal(status: str = "503 Service Unavailable", *, extra: str = "") -> Reply:
+def refusal(
+    status: str = "503 Service Unavailable", *, extra: str = "", has_id: bool = True
+) -> Reply:
     """Return a reply with `X-Not-Executed`: the endpoint did not run the request.
 
-    *extra* holds additional header lines, each with its line end.
+    *extra* holds additional header lines, each with its line end. *has_id* is whether the reply
+    names the request.
     """
 
     async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
-        writer.write(
-            f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n{extra}Content-Length: 0\r\n\r\n".encode()
-        )
+        attempt_id = request.headers.get("x-attempt-id", "")
+        named = f"X-Attempt-Id: {attempt_id}\r\n" if has_id else ""
+        head = f"HTTP/1.1 {status}\r\n{named}X-Not-Executed: 1\r\n{extra}Content-Length: 0"
+        writer.write(f"{head}\r\n\r\n".encode())
         await writer.drain()
         return True
 
     return reply
 
 
+def refused_again(first: Reply, then: Reply) -> Reply:
+    """Return a reply that refuses the first request and writes that refusal once more later.
+
+    All requests after the first are answered by *then*. On the connection of the first request
+    *first* is written before that, as if it answered the request in progress.
+    """
+    refused: list[tuple[Received, asyncio.StreamWriter]] = []
+
+    async def reply(request: Received, writer: asyncio.StreamWriter) -> bool:
+        if not refused:
+            refused.append((request, writer))
+            return await first(request, writer)
+        refused_request, refused_writer = refused[0]
+        if writer is refused_writer:
+            await first(refused_request, writer)
+        return await then(request, writer)
+
+    return reply
+
+
 def stream(*events: bytes, ends: bool = True, extra: str = "") -> Reply:
     """Return a reply that streams *events*.
 
