Let the legs of a change add up to less than the time that it may take

A follower hears of a change from its reader, or reads the store once the reader has been silent. With a watch of 1,500 ms and a silence of 2,400 ms, a reader that is cut off from the store just after a step delays its followers by 2.4 s and their own read.

The watch waits 1,000 ms, the silence is 1,400 ms: 1.88 s with a store sixty times slower than usual. The test adds up the legs (2,880 of 2,000 ms before). Readers call the store a third of a time a second more often, one in each failure domain.

--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -23,11 +23,12 @@
 VERSIONS_PREFIX = "op/version/"
 REGISTRATIONS_PREFIX = "servers/"
 
-WATCH_WAIT_MS = 1500
+WATCH_WAIT_MS = 1000
 """Time for which the store may hold one watch without changes.
 
 A silent connection is detected only after this wait and `WATCH_SLACK_MS`. A process that can reach
-the store again has to act on its current state within three seconds.
+the store again has to act on its current state within three seconds. A follower learns of a silent
+reader only after more than this wait, and has to have a change within two seconds.
 """
 
 MIN_RETRY_PAUSE_MS = 150
@@ -73,11 +74,12 @@
 MAX_LOGGED_KEY = 200
 """Characters of a rejected entry's key that are logged."""
 
-SILENT_AFTER_MS = {FeedKind.REGISTRATIONS: 1200.0, FeedKind.PUBLICATIONS: 2400.0}
+SILENT_AFTER_MS = {FeedKind.REGISTRATIONS: 1200.0, FeedKind.PUBLICATIONS: 1400.0}
 """Silence of the reader after which an entry reads the store itself.
 
 Registrations change several times a second, so that a reader passes something on after each pause.
-Publications are passed on after each watch at the latest, and peers report newer ones besides.
+Publications are passed on after each watch at the latest. The rest of the two seconds within which
+a change has to be in force is for the read and for an entry that is slow.
 """
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -197,6 +197,14 @@
         for entries in (1, 5, 30, 3400):
             self.assertLess(watch_pause_ms(entries) + WATCH_WAIT_MS + WATCH_SLACK_MS, 3000)
 
+    def test_a_follower_has_a_change_in_time_though_its_reader_is_silent(self) -> None:
+        # A change just after the reader's last step; then a connection and an answer.
+        change_in_force_ms, slow_answer_ms = 2000, 240
+        silent_after_ms = _watch.SILENT_AFTER_MS[FeedKind.PUBLICATIONS]
+        self.assertLess(silent_after_ms + 2 * slow_answer_ms, change_in_force_ms)
+        # The steps of a reader in front of a slow store come soon enough.
+        self.assertLess(WATCH_WAIT_MS + slow_answer_ms, silent_after_ms)
+
     def test_large_fleets_pause_longer(self) -> None:
         self.assertEqual(watch_pause_ms(4), watch_pause_ms(1))
         self.assertGreater(watch_pause_ms(20), watch_pause_ms(4))
