Bound the whole fetch of a configuration from a peer

An entry asks one peer at a time for a newer configuration. A peer that sent a byte now and then held the fetch for up to 12 s, and no other was asked, though the entry may be one that the store turns away. A fetch ends after 1.5 s now.

--- a/src/skylarkrack/relay/_config_sync.py
+++ b/src/skylarkrack/relay/_config_sync.py
@@ -21,6 +21,9 @@
 Entries of a region respond in milliseconds, so that a longer silence means a broken path.
 """
 
+FETCH_TOTAL_MS = 1500.0
+"""Bound on a whole fetch. No other peer is asked meanwhile, and a change has to be in force within
+two seconds of the first report of it."""
 
 OWN_READ_MS = 250.0
 """Time for this entry's own read of the store before a newer configuration is fetched from a peer.
@@ -87,8 +90,10 @@
             await asyncio.sleep(OWN_READ_MS / 1000)
             if not self._is_newer(table_version, announced):
                 return
-            response = await client.request("GET", "/published", timeout_ms=FETCH_TIMEOUT_MS)
-            document, rows = msgpack.unpackb(await response.read_body(timeout_ms=FETCH_TIMEOUT_MS))
+            async with asyncio.timeout(FETCH_TOTAL_MS / 1000):
+                response = await client.request("GET", "/published", timeout_ms=FETCH_TIMEOUT_MS)
+                body = await response.read_body(timeout_ms=FETCH_TIMEOUT_MS)
+            document, rows = msgpack.unpackb(body)
             log(Event.TABLE_FETCHED, peer=status, bytes=len(document), versions=len(rows))
             if document:
                 self._apply(document)
@@ -96,7 +101,7 @@
                 self._dispatcher.observe(
                     AdapterPublished(model=model, adapter=adapter, version=version)
                 )
-        except (LinkLost, ValueError, TypeError) as error:
+        except (LinkLost, TimeoutError, ValueError, TypeError) as error:
             log(Event.TABLE_REJECTED, key=f"peer {status}", reason=repr(error))
         finally:
             client.close()
