Keep the newest step of the store where an older one arrives after it

For a moment after a member returns two entries of a failure domain may take themselves for the reader. The later message replaced a step that was not read yet, also with an older one, and the follower learned of the change only with the next step that didn't continue from its own revision.

--- a/src/skylarkrack/relay/_store_feed.py
+++ b/src/skylarkrack/relay/_store_feed.py
@@ -92,7 +92,7 @@
         kind = FeedKind(message.kind)
         restored = message.restored_ago_ms
         endpoints = [_endpoint(row) for row in message.endpoints]
-        self._steps[kind] = FeedStep(
+        step = FeedStep(
             kind=kind,
             era=message.era,
             base=message.base,
@@ -103,6 +103,10 @@
             versions=tuple((str(m), str(a), int(version)) for m, a, version in message.versions),
             restored_ago_ms=None if restored < 0 else restored,
         )
+        waiting = self._steps.get(kind)
+        if waiting is None or (waiting.era, waiting.revision) <= (step.era, step.revision):
+            # Two entries may take themselves for the reader, and messages may overtake others.
+            self._steps[kind] = step
         self._signal_by_kind[kind].set()
 
     def request_read(self) -> None:
--- a/tests/test_relay_store_feed.py
+++ b/tests/test_relay_store_feed.py
@@ -134,6 +134,18 @@
         self.assertEqual(received, published)
         self.assertIsNone(await other.next_step(FeedKind.REGISTRATIONS, timeout_ms=1))
 
+    async def test_a_late_step_does_not_replace_a_newer_one(self) -> None:
+        sent: list[StoreStep] = []
+        for vm in ("n1", "n2"):
+            # Each takes itself for the reader, as in the moments after a member returned.
+            reader = StoreFeed(contact(vm), list_entries=list, send=sent.append)
+            reader.publish(step(3, 7, removed=("e2",)) if vm == "n1" else step(2, 3))
+        other = StoreFeed(contact("n3"), list_entries=list, send=sent.append)
+        for message in sent:
+            other.receive(decode(encode_body(message)))
+        received = await other.next_step(FeedKind.REGISTRATIONS, timeout_ms=1000)
+        self.assertEqual((received.base, received.revision), (3, 7))
+
     async def test_a_requested_read_ends_the_wait(self) -> None:
         feed = StoreFeed(contact("n1"), list_entries=list, send=lambda message: None)
         asyncio.get_running_loop().call_soon(feed.request_read)
