Go on with background tasks after an error, and log it

The class of the odd entry: a task that nothing awaits ends by an error that nobody sees, and the process serves on by what it knew. Looked for elsewhere: the ticks of an entry, by which it sends all of its state, the agent's reading of its engine and its membership, and the check of the settings file end the same way, e.g. where a message can't be encoded.

Each is a step now that is repeated; one that raises is logged (TASK_FAILED) and repeated a second later.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -102,6 +102,7 @@
     HEALTH_PROBED = 767
     WATCH_FAILED = 768
     STEP_TOO_LARGE = 769
+    TASK_FAILED = 770
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/_tasks.py
+++ b/src/skylarkrack/_tasks.py
@@ -1,7 +1,26 @@
 """Background tasks that are cancelled when their owner closes."""
 
 import asyncio
-from collections.abc import Coroutine
+import reprlib
+from collections.abc import Awaitable, Callable, Coroutine
+
+from skylarkrack._events import Event, log
+
+FAILED_PAUSE_MS = 1000.0
+"""Pause after a step of a background task that failed, which keeps its log lines few."""
+
+
+async def repeat(step: Callable[[], Awaitable[None]], *, name: str) -> None:
+    """Run *step* again and again; one that raises is logged, as nothing awaits the task.
+
+    *name* identifies the task in the log.
+    """
+    while True:
+        try:
+            await step()
+        except Exception as error:  # noqa: BLE001 - the other steps must go on
+            log(Event.TASK_FAILED, task=name, error=reprlib.repr(error))
+            await asyncio.sleep(FAILED_PAUSE_MS / 1000)
 
 
 class Tasks:
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -10,6 +10,7 @@
 
 from skylarkrack._errors import FileRejected
 from skylarkrack._events import Event, log, open_log
+from skylarkrack._tasks import repeat
 from skylarkrack.platform._engine import PlatformEngineClient
 from skylarkrack.platform._headers import PlatformCodec
 from skylarkrack.platform._settings import PlatformSettings, read_settings, settings_path
@@ -93,7 +94,9 @@
     if watcher is not None:
         watcher.start()
     log(Event.PROCESS_STARTED, role=role, domain=settings.relay.domain)
-    reloading = asyncio.create_task(_reload_forever(file, reload, process, sink))
+    reloading = asyncio.create_task(
+        repeat(SettingsReload(file, reload, process, sink).step, name="settings")
+    )
     await stopping.wait()
     log(Event.PROCESS_STOPPING)
     await process.drain()
@@ -104,24 +107,39 @@
     log(Event.PROCESS_STOPPED)
 
 
-async def _reload_forever(
-    file: SettingsFile, reload: asyncio.Event, process: RelayEntry | EngineAgent, sink: LogSink
-) -> None:
-    logged_dropped = 0
-    while True:
+class SettingsReload:
+    """Applies changed settings to a process, and logs the lines that its log has dropped."""
+
+    __slots__ = ("_file", "_logged_dropped", "_process", "_requested", "_sink")
+
+    def __init__(
+        self,
+        file: SettingsFile,
+        requested: asyncio.Event,
+        process: RelayEntry | EngineAgent,
+        sink: LogSink,
+    ) -> None:
+        self._file = file
+        self._requested = requested
+        self._process = process
+        self._sink = sink
+        self._logged_dropped = 0
+
+    async def step(self) -> None:
+        """Wait for a request or for `RELOAD_INTERVAL_MS`, then apply settings that changed."""
         try:
             async with asyncio.timeout(RELOAD_INTERVAL_MS / 1000):
-                await reload.wait()
+                await self._requested.wait()
         except TimeoutError:
             pass
-        reload.clear()
-        settings = file.read_if_changed()
+        self._requested.clear()
+        settings = self._file.read_if_changed()
         if settings is not None:
-            process.settings_changed(settings.relay)
+            self._process.settings_changed(settings.relay)
             log(Event.SETTINGS_RELOADED, ok=True, seeds=settings.relay.seeds)
-        if sink.dropped != logged_dropped:
-            log(Event.LINES_DROPPED, since_start=sink.dropped)
-            logged_dropped = sink.dropped
+        if self._sink.dropped != self._logged_dropped:
+            log(Event.LINES_DROPPED, since_start=self._sink.dropped)
+            self._logged_dropped = self._sink.dropped
 
 
 def _with_policy(settings: PlatformSettings, paths: list[str]) -> PlatformSettings:
--- a/src/skylarkrack/relay/_engine_agent.py
+++ b/src/skylarkrack/relay/_engine_agent.py
@@ -9,7 +9,7 @@
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack._status import StatusServer, StatusSources
-from skylarkrack._tasks import Tasks
+from skylarkrack._tasks import Tasks, repeat
 from skylarkrack._traces import Traces
 from skylarkrack.core.relay import (
     AGENT,
@@ -128,8 +128,8 @@
         await self._peers.start()
         if self._settings.status is not None:
             await self._status_server.start(self._settings.status)
-        self._tasks.spawn(self._run_engine())
-        self._tasks.spawn(self._maintain_membership())
+        self._tasks.spawn(repeat(self._run_engine, name="engine"))
+        self._tasks.spawn(repeat(self._maintain_membership, name="membership"))
 
     async def drain(self) -> None:
         """Do nothing: an agent has no requests that a planned stop could interrupt."""
@@ -227,23 +227,22 @@
     # Polling the engine
 
     async def _run_engine(self) -> None:
-        while True:
-            try:
-                await self._poll_engine()
-            except LinkLost as error:
-                self._metrics.count("reports_failed_total")
-                log(Event.REPORT_FAILED, engine=self._settings.engine, error=str(error))
-            interval_ms = IDLE_POLL_MS
-            if self._scheduler.expects_change():
-                interval_ms = BUSY_POLL_MS
-            elif self._admission.has_waiting():
-                interval_ms = ADMISSION_POLL_MS
-            try:
-                async with asyncio.timeout(interval_ms / 1000):
-                    await self._poll_now.wait()
-            except TimeoutError:
-                pass
-            self._poll_now.clear()
+        try:
+            await self._poll_engine()
+        except LinkLost as error:
+            self._metrics.count("reports_failed_total")
+            log(Event.REPORT_FAILED, engine=self._settings.engine, error=str(error))
+        interval_ms = IDLE_POLL_MS
+        if self._scheduler.expects_change():
+            interval_ms = BUSY_POLL_MS
+        elif self._admission.has_waiting():
+            interval_ms = ADMISSION_POLL_MS
+        try:
+            async with asyncio.timeout(interval_ms / 1000):
+                await self._poll_now.wait()
+        except TimeoutError:
+            pass
+        self._poll_now.clear()
 
     async def _poll_engine(self) -> None:
         """Read a report, send changes to the entries, and send the order that is due."""
@@ -338,10 +337,9 @@
         self._peers.broadcast_to_entries(message)
 
     async def _maintain_membership(self) -> None:
-        while True:
-            self._peers.probe_silent(monotonic_ms())
-            self._stream_origins.forget_old(monotonic_ms())
-            await asyncio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
+        self._peers.probe_silent(monotonic_ms())
+        self._stream_origins.forget_old(monotonic_ms())
+        await asyncio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
 
 
 def _rows_by_model(version_by_name: dict[AdapterId, int]) -> dict[str, list]:
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -8,7 +8,7 @@
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack._status import StatusServer, StatusSources
-from skylarkrack._tasks import Tasks
+from skylarkrack._tasks import Tasks, repeat
 from skylarkrack._traces import Traces
 from skylarkrack.core.relay import (
     CrashTracker,
@@ -133,7 +133,7 @@
         await self._readiness_server.start(self._settings.readiness)
         if self._settings.status is not None:
             await self._status_server.start(self._settings.status)
-        self._tasks.spawn(self._run_ticks())
+        self._tasks.spawn(repeat(self._tick, name="ticks"))
 
     async def drain(self) -> None:
         """Carry out a planned stop.
@@ -228,17 +228,16 @@
             "listed": self.registry.has_listing,
         }
 
-    async def _run_ticks(self) -> None:
-        while True:
-            now_ms = monotonic_ms()
-            self.registry.advance(now_ms)
-            self._gossip.send_due(now_ms)
-            self._health_prober.send_due(now_ms)
-            self._share_connections()
-            slept_from_ms = monotonic_ms()
-            await asyncio.sleep(TICK_MS / 1000)
-            lag_ms = monotonic_ms() - slept_from_ms - TICK_MS
-            self._context.metrics.observe_ms("event_loop_lag_ms", lag_ms)
+    async def _tick(self) -> None:
+        now_ms = monotonic_ms()
+        self.registry.advance(now_ms)
+        self._gossip.send_due(now_ms)
+        self._health_prober.send_due(now_ms)
+        self._share_connections()
+        slept_from_ms = monotonic_ms()
+        await asyncio.sleep(TICK_MS / 1000)
+        lag_ms = monotonic_ms() - slept_from_ms - TICK_MS
+        self._context.metrics.observe_ms("event_loop_lag_ms", lag_ms)
 
     def _share_connections(self) -> None:
         """Divide the connections that endpoints accept among the live entries."""
