--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import random
 from collections import Counter
 
 from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
@@ -16,7 +17,17 @@
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_S = 0.02
 PLAIN_RUN_S = 0.03
+REFUSED_RATIO = 0.04
+"""Ratio of the plain requests that a service refuses as if it were full."""
 
+BROKEN_RATIO = 0.05
+BROKEN_AFTER_EVENTS = 3
+"""Ratio of the resumable streams that break off, and after how many events."""
+
+FAILED_RESUME_RATIO = 0.3
+"""Ratio of the resumed streams that are answered with an error instead."""
+
+ERROR_BODY = b"id: 4\ndata: no such\n\nadapter\n\n"
 
 SOFTWARE_VERSIONS = ("v1", "v2")
 """Software versions of engines; each engine keeps its own through restarts."""
@@ -46,6 +57,7 @@
         self.software_version = SOFTWARE_VERSIONS[0]
         self.limit_per_s: float | None = None
         self.domain = "z" + name[-1]
+        self._random = random.Random(name)
         self._server = self._new_server()
 
     def _new_server(self) -> HttpServer:
@@ -97,6 +109,11 @@
         tokens = sum(float(count) for count in headers.get("x-token-count", "200,0").split(","))
         self.checker.record_tokens(tokens, now_s)
 
+    def refuse(self, request: Request, responder: Responder, status: int) -> None:
+        """State that a request was not run."""
+        attempt_id = (request.header(b"x-attempt-id") or "").encode()
+        responder.respond(status, [(b"x-not-executed", b"1"), (b"x-attempt-id", attempt_id)], b"")
+
     async def answer(self, request: Request, responder: Responder) -> None:
         """Run a request and send its response."""
         raise NotImplementedError
@@ -105,7 +122,7 @@
         expected = request.header(b"x-expect-instance")
         if expected not in (None, self.name):
             self.checker.violations.append(f"{expected} was meant, {self.name} was asked")
-            responder.respond(421, [(b"x-not-executed", b"1")], b"")
+            self.refuse(request, responder, 421)
             return
         if request.path != "/report":
             self.checker.record_arrival(self.name, asyncio.get_running_loop().time())
@@ -118,7 +135,10 @@
     """A service without adapters; a `/pay/` request must run at most once."""
 
     async def answer(self, request: Request, responder: Responder) -> None:
-        """Respond with the id of the request after `PLAIN_RUN_S`."""
+        """Respond with the id of the request after `PLAIN_RUN_S`, or refuse it."""
+        if self._random.random() < REFUSED_RATIO:
+            self.refuse(request, responder, 503)
+            return
         self.begin_run(request, is_repeatable=request.path.startswith("/look/"))
         await asyncio.sleep(PLAIN_RUN_S)
         responder.respond(
@@ -202,9 +222,16 @@
     async def _stream(self, request: Request, responder: Responder) -> None:
         adapter = (request.header(b"x-model") or "/").partition("/")[2]
         if adapter not in self._loaded_versions:
-            responder.respond(421, [(b"x-not-executed", b"1")], b"")
+            self.refuse(request, responder, 421)
+            return
+        is_resumable = request.path.startswith("/draft/")
+        self.begin_run(request, is_repeatable=is_resumable)
+        received_count = int(request.header(b"last-event-id") or "0")
+        if received_count and self._random.random() < FAILED_RESUME_RATIO:
+            status = self._random.choice((400, 404, 500))
+            responder.respond(status, self.proof_headers(request), ERROR_BODY)
             return
-        self.begin_run(request, is_repeatable=request.path.startswith("/draft/"))
+        is_broken = is_resumable and self._random.random() < BROKEN_RATIO
         self._active_runs[adapter] += 1
         request_id = request.header(b"x-attempt-id")
         self._events_by_run[request_id] = 0
@@ -212,12 +239,14 @@
             responder.start(
                 200, [*self.proof_headers(request), (b"content-type", b"text/event-stream")]
             )
-            received_count = int(request.header(b"last-event-id") or "0")
             events = events_for(request_id, self.software_version)
             for event in events[received_count:]:
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 responder.send(event)
                 self._events_by_run[request_id] += 1
+                if is_broken and self._events_by_run[request_id] == BROKEN_AFTER_EVENTS:
+                    responder.cut()
+                    return
             responder.end()
         finally:
             self._active_runs[adapter] -= 1
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,8 @@
-"""A loopback proxy that delays or resets connections, or drops data in one or both directions."""
+"""A loopback proxy that delays or resets connections, or drops data in one or both directions.
+
+It also writes each refusal once more before the next answer on the same connection, as a faulty
+endpoint may.
+"""
 
 import asyncio
 import socket
@@ -8,6 +12,7 @@
 from skylarkrack._addresses import split_address
 
 READ_BYTES = 65_536
+REFUSED = b"x-not-executed"
 
 
 class Fault(Enum):
@@ -84,8 +89,12 @@
     async def _forward_data(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, is_response: bool
     ) -> None:
+        refusal = b""
         try:
             while data := await reader.read(READ_BYTES):
+                if is_response:
+                    # Refusals are small and arrive in one piece.
+                    data, refusal = refusal + data, data if REFUSED in data.lower() else b""
                 if self.fault is Fault.DELAY:
                     await asyncio.sleep(0.2)
                 if self.fault is Fault.DROP_ALL or (
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import itertools
+import json
 import random
 import signal
 import sys
@@ -26,7 +28,7 @@
     events_for,
     stream_bodies,
 )
-from soak.fleet import Fleet, Machine
+from soak.fleet import CONTROL_PORT, Fleet, Machine
 from soak.guarantees import REVOCATION_LIMIT_S
 from soak.proxy import Fault
 
@@ -65,6 +67,17 @@
 MAX_STAY_S = 0.1
 ANSWER_TIMEOUT_MS = 6000.0
 
+ODD_ENTRIES = (
+    ("servers/odd", b'{"state": ' + b"[" * 980 + b"]" * 980 + b"}"),
+    ("servers/odd", b'{"state": "ready", "addr": "127.0.0.1:70000", "service": "desk"}'),
+    ("servers/odd", b"\xff{"),
+    ("op/version/odd", b'{"model": "m", "adapter": "a", "version": 1%s}' % (b"0" * 400)),
+    ("op/version/odd", b'{"model": "\\ud800", "adapter": "a", "version": 1}'),
+)
+"""Entries of another writer that name nothing; one after the other is written to the store."""
+
+ODD_ENTRY_INTERVAL_S = 0.7
+
 
 async def wait_until_served(machine: Machine) -> None:
     """Wait until an entry serves a plain request.
@@ -116,7 +129,9 @@
             callers = [asyncio.create_task(self._call_forever(n)) for n in range(CALLERS)]
             limits = asyncio.create_task(self._limit_endpoints())
             evacuation = asyncio.create_task(self._evacuate_domain())
+            odd_entries = asyncio.create_task(self._write_odd_entries())
             await self._inject_faults()
+            odd_entries.cancel()
             await evacuation
             self._faults_ended = True
             await limits
@@ -367,6 +382,11 @@
         del checker.evacuated_s_by_domain[domain]
         self.fleet.store.remove(f"op/evacuate/{domain}")
 
+    async def _write_odd_entries(self) -> None:
+        for key, value in itertools.cycle(ODD_ENTRIES):
+            self.fleet.store.put(key, value)
+            await asyncio.sleep(ODD_ENTRY_INTERVAL_S)
+
     def _pick_machine(self) -> Machine:
         return self._random.choice(self.fleet.machines)
 
@@ -430,8 +450,17 @@
         self.fleet.publish()
 
     async def _check_recovery(self) -> None:
-        """Check that `MIN_RECOVERED_RATIO` of probes succeed after `RECOVERY_S` without faults."""
+        """Check what holds after `RECOVERY_S` without faults.
+
+        `MIN_RECOVERED_RATIO` of probes succeed, and each entry serves by the newest configuration.
+        """
         await asyncio.sleep(RECOVERY_S)
+        for machine in self.fleet.entries:
+            version = await self._configuration_of(machine)
+            if version != self.fleet.config_version:
+                self.fleet.checker.violations.append(
+                    f"{machine.name} has configuration {version}, not {self.fleet.config_version}"
+                )
         served_count = 0
         for number in range(PROBES):
             machine = self.fleet.entries[number % len(self.fleet.entries)]
@@ -451,6 +480,17 @@
                 f"{served_count} of {PROBES} served after the recovery"
             )
 
+    async def _configuration_of(self, machine: Machine) -> int | None:
+        """Return the version of the configuration in force at an entry; None without an answer."""
+        client = HttpClient(f"{machine.ip}:{CONTROL_PORT}")
+        try:
+            response = await client.request("GET", "/state", timeout_ms=ANSWER_TIMEOUT_MS)
+            return json.loads(await response.read_body(timeout_ms=ANSWER_TIMEOUT_MS))["table"]
+        except LinkLost:
+            return None
+        finally:
+            client.close()
+
 
 async def run_seed(seed: int, folder: Path) -> tuple[list[str], str]:
     """Run one seed; return the violations and a description of what was injected and received."""
