--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -227,6 +227,18 @@
             ),
         )
 
+    def test_numbers_that_fit_into_no_message_are_rejected(self) -> None:
+        for number in (2**53, 2**64, TOO_LARGE):
+            rows = (
+                (decode_version, {**VERSION, "version": number}),
+                (decode_report, {**REPORT, "seq": number}),
+                (decode_table, config(number)),
+                (lambda data: decode_endpoint("i-1", data), {**REGISTRATION, "born": number}),
+            )
+            for decode_document, document in rows:
+                with self.subTest(digits=len(str(number))), self.assertRaises(DocumentRejected):
+                    decode_document(as_bytes(document))
+
     @seed(1)
     @FUZZ
     @given(documents(REGISTRATION))
--- a/tests/test_relay_repeated_refusals.py
+++ b/tests/test_relay_repeated_refusals.py
@@ -4,6 +4,7 @@
 refusal that belongs to an earlier send.
 """
 
+import asyncio
 import unittest
 
 from standins.platform_worker import PlatformWorker, Reply, answer, refusal, refused_again
@@ -59,3 +60,18 @@
                     for seen in worker.received[1:]
                 ]
                 self.assertEqual(len(runs), len(set(runs)))
+
+    async def test_another_request_does_not_take_an_earlier_refusal_for_its_own(self) -> None:
+        for name, refused in REFUSALS.items():
+            with self.subTest(name):
+                worker = PlatformWorker([refused_again(refused, answer(b"paid"))])
+                async with EntryHarness(worker) as harness:
+                    await harness.send_raw(payment("r1"))
+                    # Two at once use the connection of the refusal too.
+                    responses = await asyncio.gather(
+                        *(harness.send_raw(payment(name)) for name in ("r2", "r3"))
+                    )
+                received = [seen.headers["x-attempt-id"] for seen in worker.received]
+                self.assertEqual(sorted(received), ["r1", "r1", "r2", "r3"])
+                for response in responses:
+                    self.assertTrue(response.endswith(b"paid"), response)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1287,4 +1287,60 @@
         without="math.isinf(rate_per_s):",
         test="tests.test_relay_explanation.TestReasons.test_a_full_window_is_told_from_a_rate",
     ),
+    Guard(
+        name="relay-read-all-messages",
+        file="relay/_datagrams.py",
+        code="            self._receive(data, address)\n        self.full_rounds += 1",
+        without="            self._receive(data, address)\n            return",
+        test="tests.test_relay_datagrams.TestArrived"
+        ".test_control_messages_do_not_wait_one_round_of_the_loop_each",
+    ),
+    Guard(
+        name="relay-newest-step",
+        file="relay/_store_feed.py",
+        code="if waiting is None or (waiting.era, waiting.revision) <= (step.era, step.revision):",
+        without="if True:",
+        test="tests.test_relay_store_feed.TestFeed"
+        ".test_a_late_step_does_not_replace_a_newer_one",
+    ),
+    Guard(
+        name="relay-other-connection",
+        file="relay/_exchange.py",
+        code="excluded=self._carriers,",
+        without="excluded=(),",
+        test="tests.test_relay_repeated_refusals.TestRepeatedRefusals"
+        ".test_a_request_that_is_sent_again_gets_its_own_answer",
+    ),
+    Guard(
+        name="relay-unnamed-refusal",
+        file="relay/_exchange.py",
+        code="if not classification.names_request:",
+        without="if False:",
+        test="tests.test_relay_repeated_refusals.TestRepeatedRefusals"
+        ".test_another_request_does_not_take_an_earlier_refusal_for_its_own",
+    ),
+    Guard(
+        name="relay-stream-join",
+        file="relay/_event_stream.py",
+        code="            self._check_join(complete)",
+        without="            pass",
+        test="tests.test_relay_broken_streams.TestContinuation"
+        ".test_an_answer_that_does_not_continue_the_stream_is_not_forwarded",
+    ),
+    Guard(
+        name="relay-stream-success",
+        file="relay/_exchange.py",
+        code="is_success = _SUCCESS <= response.status < _REDIRECTION",
+        without="is_success = response.status < _SERVER_ERROR",
+        test="tests.test_relay_broken_streams.TestFirstAnswer"
+        ".test_an_error_of_the_endpoint_is_forwarded_whole",
+    ),
+    Guard(
+        name="relay-odd-integer",
+        file="platform/_documents.py",
+        code="    return is_integer and abs(value) <= MAX_INTEGER",
+        without="    return is_integer",
+        test="tests.test_relay_odd_entries.TestDecoders"
+        ".test_numbers_that_fit_into_no_message_are_rejected",
+    ),
 )
