--- a/src/skylarkrack/platform/_documents.py
+++ b/src/skylarkrack/platform/_documents.py
@@ -42,7 +42,6 @@
 NO_MEMORY_LIMIT_MB = float("inf")
 """Memory of an engine whose configuration sets no limit."""
 
-
 MAX_INTEGER = 2**53 - 1
 """Largest integer in a document that is accepted; every JSON parser reads it exactly, and messages
 between processes can hold it."""
@@ -53,6 +52,9 @@
 MAX_VERSION_DIGITS = 15
 """Digits of an adapter's version that are accepted, which keeps it below `MAX_INTEGER`."""
 
+MAX_SHOWN_ERROR = 100
+"""Characters of a parser's error that are shown."""
+
 _PATH = re.compile(r"/[!-~]{0,999}", re.ASCII)
 _ENDPOINT_ID = re.compile(r"[!-~]{1,200}", re.ASCII)
 
@@ -62,10 +64,6 @@
 _SHOWN.maxstring = _SHOWN.maxlong = _SHOWN.maxother = 60
 
 
-MAX_SHOWN_ERROR = 100
-"""Characters of a parser's error that are shown."""
-
-
 class DocumentRejected(ValueError):
     """Raised for an invalid document of the platform; the message names the field and its value."""
 
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -68,6 +68,9 @@
 The reader calls more often, and passes on that the store answers again.
 """
 
+FAILED_PAUSE_MS = 1000
+"""Pause after an error that nothing else handles, before the keys are listed again."""
+
 MAX_REJECTED_ENTRIES = 1000
 """Entries remembered as rejected; beyond it all are forgotten, and logged once more."""
 
@@ -95,6 +98,7 @@
         "_change_handler",
         "_era",
         "_exchange",
+        "_failure",
         "_is_unreachable",
         "_kind",
         "_pause_ms",
@@ -122,6 +126,7 @@
         self._exchange = exchange
         self._is_unreachable = False
         self._era: int | None = None
+        self._failure: str | None = None
         self._restored_ms: float | None = None
         self._step_received_ms = float("-inf")
         self._task: asyncio.Task | None = None
@@ -156,13 +161,10 @@
                     retry_ms = min(MAX_RETRY_PAUSE_MS, 2 * retry_ms)
                 else:
                     revision = await self._follow_for(FOLLOWER_RETRY_MS, revision)
-            except (
-                Exception
-            ) as error:  # noqa: BLE001 - an unforeseen value must not end the reading
-                reason = reprlib.repr(error)
-                log(Event.WATCH_FAILED, prefix=self._prefix, revision=revision, error=reason)
+            except Exception as error:  # noqa: BLE001 - the reading must not end
+                self._log_failure(reprlib.repr(error), revision)
                 revision = None
-                await asyncio.sleep(MAX_RETRY_PAUSE_MS / 1000)
+                await asyncio.sleep(FAILED_PAUSE_MS / 1000)
 
     async def _read_once(self, revision: int | None) -> int:
         """List the keys, or read or receive changes after *revision*; return the new revision."""
@@ -219,6 +221,12 @@
             self._change_handler.handle_step(step)
         return max(revision, step.revision)
 
+    def _log_failure(self, reason: str, revision: int | None) -> None:
+        """Log an error that nothing else handles, once as long as it stays the same."""
+        if reason != self._failure:
+            self._failure = reason
+            log(Event.WATCH_FAILED, prefix=self._prefix, revision=revision, error=reason)
+
     def _restored_ago_ms(self) -> float | None:
         return None if self._restored_ms is None else monotonic_ms() - self._restored_ms
 
--- a/src/skylarkrack/relay/_datagrams.py
+++ b/src/skylarkrack/relay/_datagrams.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import reprlib
 import socket
 from collections.abc import Callable
 
@@ -20,7 +21,6 @@
 MAX_DATAGRAM_BYTES = 60_000
 """Bound on an encoded message; sending a larger one raises `ValueError`."""
 
-
 MAX_DATAGRAMS_PER_ROUND = 128
 """Datagrams handled in one round of the event loop, so that requests proceed between them."""
 
@@ -98,7 +98,7 @@
         except Exception as error:  # noqa: BLE001 - one message must not hold up those behind it
             # Decoding checks the types of fields. Rows in a field are checked only on use.
             self.rejected += 1
-            log(Event.HANDLER_FAILED, sender=sender, error=repr(error))
+            log(Event.HANDLER_FAILED, sender=sender, error=reprlib.repr(error))
 
     def send_to(self, message: object, addresses: tuple[str, ...]) -> None:
         """Send a message to several addresses; raises `ValueError` above `MAX_DATAGRAM_BYTES`."""
--- a/src/skylarkrack/relay/_event_stream.py
+++ b/src/skylarkrack/relay/_event_stream.py
@@ -10,7 +10,6 @@
 MAX_EVENT_BYTES = 262_144
 """Bounds the bytes held of an incomplete event; beyond it the stream is rejected."""
 
-
 MAX_ID_DIGITS = 18
 """Digits of the largest id that is compared as a number."""
 
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -79,8 +79,8 @@
 
     __slots__ = (
         "_attempts",
-        "_context",
         "_carriers",
+        "_context",
         "_event_stream",
         "_is_run_over",
         "_last_placement",
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack.core.relay import FeedKind, FeedStep
@@ -248,6 +249,20 @@
         self.platform.remove("servers/i-1")
         await self.listener.wait_until_recorded("removed", "i-1")
 
+    async def test_an_error_of_the_listener_does_not_end_the_reading(self) -> None:
+        failed = mock.Mock(side_effect=[ZeroDivisionError, None])
+        with (
+            mock.patch.object(self.listener, "adapter_published", failed),
+            mock.patch.object(_watch, "FAILED_PAUSE_MS", 10),
+        ):
+            self.watcher.start()
+            await self.listener.wait_until_recorded("table", 3)
+            document = {"model": "m", "adapter": "a1", "version": 2}
+            self.platform.put("op/version/m.a1", as_bytes(document))
+            self.platform.put("op/config", as_bytes(config(4)))
+            await self.listener.wait_until_recorded("table", 4)
+        self.assertEqual(failed.call_count, 2)
+
     async def test_an_invalid_configuration_changes_nothing(self) -> None:
         self.watcher.start()
         await self.listener.wait_until_recorded("table", 3)
