End the faults of the soak's endpoints before its recovery is checked

The engines of the soak went on answering three resumed streams in ten with an error, while the check of the recovery asks what holds without faults.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -47,7 +47,10 @@
 
 
 class Endpoint:
-    """Base of engines and plain services: the server, the registration and checks of requests."""
+    """Base of engines and plain services: the server, the registration and checks of requests.
+
+    While *is_faulty*, some requests are refused or fail as the ratios of this module say.
+    """
 
     def __init__(self, name: str, address: str, checker: GuaranteeChecker) -> None:
         self.name = name
@@ -57,6 +60,7 @@
         self.software_version = SOFTWARE_VERSIONS[0]
         self.limit_per_s: float | None = None
         self.domain = "z" + name[-1]
+        self.is_faulty = True
         self._random = random.Random(name)
         self._server = self._new_server()
 
@@ -109,6 +113,10 @@
         tokens = sum(float(count) for count in headers.get("x-token-count", "200,0").split(","))
         self.checker.record_tokens(tokens, now_s)
 
+    def is_chosen(self, ratio: float) -> bool:
+        """Return whether a fault that befalls this ratio of requests befalls the next one."""
+        return self.is_faulty and self._random.random() < ratio
+
     def refuse(self, request: Request, responder: Responder, status: int) -> None:
         """State that a request was not run."""
         attempt_id = (request.header(b"x-attempt-id") or "").encode()
@@ -136,7 +144,7 @@
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Respond with the id of the request after `PLAIN_RUN_S`, or refuse it."""
-        if self._random.random() < REFUSED_RATIO:
+        if self.is_chosen(REFUSED_RATIO):
             self.refuse(request, responder, 503)
             return
         self.begin_run(request, is_repeatable=request.path.startswith("/look/"))
@@ -227,11 +235,11 @@
         is_resumable = request.path.startswith("/draft/")
         self.begin_run(request, is_repeatable=is_resumable)
         received_count = int(request.header(b"last-event-id") or "0")
-        if received_count and self._random.random() < FAILED_RESUME_RATIO:
+        if received_count and self.is_chosen(FAILED_RESUME_RATIO):
             status = self._random.choice((400, 404, 500))
             responder.respond(status, self.proof_headers(request), ERROR_BODY)
             return
-        is_broken = is_resumable and self._random.random() < BROKEN_RATIO
+        is_broken = is_resumable and self.is_chosen(BROKEN_RATIO)
         self._active_runs[adapter] += 1
         request_id = request.header(b"x-attempt-id")
         self._events_by_run[request_id] = 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -132,6 +132,8 @@
             odd_entries = asyncio.create_task(self._write_odd_entries())
             await self._inject_faults()
             odd_entries.cancel()
+            for endpoint in self.fleet.endpoints:
+                endpoint.is_faulty = False
             await evacuation
             self._faults_ended = True
             await limits
