Name the runs that an eviction interrupted in the soak's report

Which request used it can't be told from the logs, as no line names the adapter of a run. The report names the runs now.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -209,7 +209,10 @@
         adapter = order["adapter"]
         if order["op"] == "unload":
             if self._active_runs[adapter]:
-                self.checker.violations.append(f"{adapter} was evicted in use at {self.name}")
+                runs = ", ".join(self._events_by_run)
+                self.checker.violations.append(
+                    f"{adapter} was evicted in use at {self.name}, which ran {runs}"
+                )
             self._loaded_versions.pop(adapter, None)
             return 200
         self._loading_adapters.add(adapter)
