--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -20,15 +20,14 @@
     decode_version,
 )
 from skylarkrack.platform._headers import PlatformCodec
-from skylarkrack.platform._watch import StoreWatcher
-from skylarkrack.relay import ForwardParameters, RelayEntry
+from skylarkrack.relay import ForwardParameters
 from skylarkrack.relay._store_feed import StoreFeed
 from skylarkrack.web import HttpClient, Request
 from skylarkrack.wire import decode, encode_body
 from standins.platform_store import PlatformStore
 from tests.platform_builders import as_bytes, config, registration
-from tests.test_relay_fleet import entry, until
-from tests.test_relay_fleet import settings as relay_settings
+from tests.store_fleet import start_entries
+from tests.test_relay_fleet import until
 from tests.test_relay_store_feed import contact
 
 TOO_LARGE = 10**400
@@ -96,24 +95,10 @@
         self.addAsyncCleanup(self.platform.close)
         self.platform.put("op/config", as_bytes(config()))
         self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
-        self.entries: list[RelayEntry] = []
-        seeds: tuple[str, ...] = ()
-        for number in (1, 2):
-            chosen = relay_settings(f"n{number}", *seeds)
-            seeds = seeds or (chosen.peers,)
-            started = entry(chosen)
-            await started.start()
-            host, port = self.platform.bound_address
-            watcher = StoreWatcher(
-                f"{host}:{port}",
-                started.registry,
-                count_entries=started.count_entries,
-                exchange=started.store_feed,
-            )
-            watcher.start()
+        self.entries, watchers = await start_entries(self.platform, 2)
+        for started, watcher in zip(self.entries, watchers, strict=True):
             self.addAsyncCleanup(started.close)
             self.addAsyncCleanup(watcher.close)
-            self.entries.append(started)
         await until(lambda: all(e.count_entries() == 2 for e in self.entries))
 
     def all_know(self, endpoint_id: str) -> bool:
--- a/tests/test_relay_store_feed.py
+++ b/tests/test_relay_store_feed.py
@@ -17,14 +17,13 @@
     use_of,
 )
 from skylarkrack.messages import StoreStep
-from skylarkrack.platform._watch import StoreWatcher
-from skylarkrack.relay import RelayEntry
 from skylarkrack.relay._store_feed import StoreFeed
 from skylarkrack.wire import decode, encode_body
 from standins.platform_store import PlatformStore
 from tests.platform_builders import as_bytes, config, registration
 from tests.relay_builders import endpoint
-from tests.test_relay_fleet import entry, settings, until
+from tests.store_fleet import start_entries
+from tests.test_relay_fleet import until
 
 
 def contact(vm: str, *, domain: str = "east", passes_on: bool = True) -> ProcessContact:
@@ -163,24 +162,7 @@
         self.addAsyncCleanup(self.platform.close)
         self.platform.put("op/config", as_bytes(config()))
         self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
-        self.entries: list[RelayEntry] = []
-        self.watchers: list[StoreWatcher] = []
-        host, port = self.platform.bound_address
-        seeds: tuple[str, ...] = ()
-        for number in range(1, 5):
-            relay_settings = settings(f"n{number}", *seeds)
-            seeds = seeds or (relay_settings.peers,)
-            started = entry(relay_settings)
-            await started.start()
-            watcher = StoreWatcher(
-                f"{host}:{port}",
-                started.registry,
-                count_entries=started.count_entries,
-                exchange=started.store_feed,
-            )
-            watcher.start()
-            self.entries.append(started)
-            self.watchers.append(watcher)
+        self.entries, self.watchers = await start_entries(self.platform, 4)
         self.addAsyncCleanup(self.stop, *range(4))
         await until(lambda: all(e.count_entries() == 4 for e in self.entries))
 
