Check addresses, numbers and ids of events in one place each

`is_address` repeated the check of the settings' addresses; an adapter's version and an event's id were checked digit by digit in two places, an id was cut out of its line in two; the reader of the store and `repeat` each had a pause after an error; the gossip kept a count that the metrics hold. In tests: `is_whole`, the start of a store, and the rejection of a drawn document.

Change: `check_address` serves the settings and `is_address`, `whole_number` (new) reads digits of bounded length, `_id_in` the id, `_tasks.FAILED_PAUSE_MS` both pauses. The count of full rounds is read from the metrics. The tests share `is_whole` of tests.test_relay_path, `start_store`, `decoded` and `pass_on`; their assertions, bounds, seeds and cases are the same.

--- a/src/skylarkrack/_settings.py
+++ b/src/skylarkrack/_settings.py
@@ -1,12 +1,12 @@
 """The settings file of one process: a TOML document, of which every problem is reported."""
 
 import tomllib
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Literal, TypeVar
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from skylarkrack._addresses import check_address
 from skylarkrack._errors import Code, FileRejected
 from skylarkrack._problems import Problem, problems_of
 from skylarkrack.web import ServerLimits
@@ -14,16 +14,7 @@
 _Document = TypeVar("_Document", bound=BaseModel)
 
 
-def _check_address(value: str) -> str:
-    """Return *value* if it is `IP:port`; host names are rejected, since none is resolved."""
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("an IP number and a port, as in 10.0.0.7:7100")
-    ip_address(host.strip("[]"))
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
+Address = Annotated[str, AfterValidator(check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 
 
--- a/src/skylarkrack/platform/_documents.py
+++ b/src/skylarkrack/platform/_documents.py
@@ -12,6 +12,7 @@
 import reprlib
 
 from skylarkrack._addresses import is_address
+from skylarkrack._numbers import whole_number
 from skylarkrack.core.relay import (
     CallerLimits,
     Endpoint,
@@ -200,8 +201,7 @@
 def _parse_adapter(versioned_name: str) -> tuple[str, int]:
     """Split NAME@VERSION; a missing or invalid version is 0."""
     name, _, version = versioned_name.partition("@")
-    is_version = version.isascii() and version.isdigit() and len(version) <= MAX_VERSION_DIGITS
-    return name, int(version) if is_version else 0
+    return name, whole_number(version, max_digits=MAX_VERSION_DIGITS) or 0
 
 
 def _route(fields: dict) -> Route:
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -8,6 +8,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack._events import Event, log
+from skylarkrack._tasks import FAILED_PAUSE_MS
 from skylarkrack.core.relay import Endpoint, FeedKind, FeedStep, StepUse, use_of
 from skylarkrack.platform._documents import (
     DocumentRejected,
@@ -68,9 +69,6 @@
 The reader calls more often, and passes on that the store answers again.
 """
 
-FAILED_PAUSE_MS = 1000
-"""Pause after an error that nothing else handles, before the keys are listed again."""
-
 MAX_REJECTED_ENTRIES = 1000
 """Entries remembered as rejected; beyond it all are forgotten, and logged once more."""
 
--- a/src/skylarkrack/relay/_event_stream.py
+++ b/src/skylarkrack/relay/_event_stream.py
@@ -2,9 +2,11 @@
 
 import re
 
+from skylarkrack._numbers import whole_number
+
 EVENT_END = b"\n\n"
 
-_ID_LINE = re.compile(rb"^id:[ ]?(.*)$", re.MULTILINE)
+_ID_LINE = re.compile(rb"^id:.*", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data", re.MULTILINE)
 
 MAX_EVENT_BYTES = 262_144
@@ -68,7 +70,7 @@
         if first is None:
             return
         line = _ID_LINE.search(first)
-        first_id = None if line is None else line[1].strip().decode("latin-1")
+        first_id = None if line is None else _id_in(line[0])
         if first_id is None or not self._follows(first_id):
             raise ValueError(f"event {first_id!r:.40} after event {self.last_id!r:.40}")
         self._has_joined = True
@@ -87,7 +89,7 @@
         if start < 0:
             return
         line = events[start:].lstrip(b"\n").split(b"\n", 1)[0]
-        event_id = line.partition(b":")[2].strip().decode("latin-1")
+        event_id = _id_in(line)
         if self._id_step is None and events.count(EVENT_END) == 1:
             before, after = _number(self.last_id), _number(event_id)
             if before is not None and after is not None and after > before:
@@ -95,7 +97,11 @@
         self.last_id = event_id
 
 
+def _id_in(line: bytes) -> str:
+    """Return the id in a line that begins with `id:`."""
+    return line.partition(b":")[2].strip().decode("latin-1")
+
+
 def _number(event_id: str | None) -> int | None:
     """Return the number that an event's id is, or None."""
-    is_number = event_id is not None and event_id.isascii() and event_id.isdigit()
-    return int(event_id) if is_number and len(event_id) <= MAX_ID_DIGITS else None
+    return None if event_id is None else whole_number(event_id, max_digits=MAX_ID_DIGITS)
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -104,7 +104,6 @@
         "_conditions",
         "_config_sync",
         "_context",
-        "_counted_full_rounds",
         "_demand_sent_ms_by_key",
         "_full_sent_ms",
         "_has_announced_stop",
@@ -178,7 +177,6 @@
         self._snapshot_by_endpoint: dict[str, tuple[tuple[str, int], EngineStateReceived]] = {}
         self._demand_sent_ms_by_key: dict[EndpointKey, float] = {}
         self._sent_in_use_by_key: dict[EndpointKey, frozenset] = {}
-        self._counted_full_rounds = 0
         self._sequence = 0
         self._sent_ms = 0.0
         self._has_announced_stop = False
@@ -363,11 +361,10 @@
         self._count_full_rounds()
 
     def _count_full_rounds(self) -> None:
-        full_rounds = self._peers.full_rounds
-        if full_rounds != self._counted_full_rounds:
-            added = full_rounds - self._counted_full_rounds
-            self._context.metrics.count("rounds_with_unread_messages_total", amount=added)
-            self._counted_full_rounds = full_rounds
+        metrics, name = self._context.metrics, "rounds_with_unread_messages_total"
+        added = self._peers.full_rounds - metrics.counter(name)
+        if added:
+            metrics.count(name, amount=added)
 
     def _broadcast_state(self, now_ms: float) -> None:
         own = self._context.dispatcher.own_loads(now_ms)
--- a/tests/test_relay_broken_streams.py
+++ b/tests/test_relay_broken_streams.py
@@ -8,6 +8,7 @@
 
 from standins.platform_worker import PlatformWorker, Reply, answer, broken_head, stream
 from tests.platform_builders import EntryHarness, model_request
+from tests.test_relay_path import is_whole
 
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n")
 BLANK_LINES = b"no such\n\nadapter\n\n"
@@ -33,11 +34,6 @@
     }
 
 
-def is_whole(response: bytes) -> bool:
-    """Return whether a chunked response has its last chunk."""
-    return response.endswith(b"0\r\n\r\n")
-
-
 class TestContinuation(unittest.IsolatedAsyncioTestCase):
     """A resumable stream whose first endpoint broke off after two events."""
 
--- a/tests/test_relay_odd_entries.py
+++ b/tests/test_relay_odd_entries.py
@@ -6,6 +6,7 @@
 
 import json
 import unittest
+from collections.abc import Callable
 
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
@@ -24,9 +25,8 @@
 from skylarkrack.relay._store_feed import StoreFeed
 from skylarkrack.web import HttpClient, Request
 from skylarkrack.wire import decode, encode_body
-from standins.platform_store import PlatformStore
 from tests.platform_builders import as_bytes, config, registration
-from tests.store_fleet import start_entries
+from tests.store_fleet import start_entries, start_store
 from tests.test_relay_fleet import until
 from tests.test_relay_store_feed import contact
 
@@ -90,11 +90,8 @@
     """Two entries of one failure domain, of which one reads the store."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = PlatformStore()
-        await self.platform.start("127.0.0.1:0")
+        self.platform = await start_store()
         self.addAsyncCleanup(self.platform.close)
-        self.platform.put("op/config", as_bytes(config()))
-        self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
         self.entries, watchers = await start_entries(self.platform, 2)
         for started, watcher in zip(self.entries, watchers, strict=True):
             self.addAsyncCleanup(started.close)
@@ -176,9 +173,23 @@
 )
 
 
+def pass_on(rows: list) -> None:
+    """Encode and decode a message between entries that holds *rows*."""
+    sender = {"vm": "n1", "address": "n1:1", "domain": "east", "passes_on": True}
+    decode(encode_body(LeavingEndpoints(**sender, endpoints=rows)))
+
+
 class TestDecoders(unittest.IsolatedAsyncioTestCase):
     """What a decoder accepts, each of its consumers accepts too."""
 
+    def decoded(self, decode_document: Callable[[bytes], object], data: bytes) -> object | None:
+        """Return what a decoder makes of *data*, or None if it rejects it for a short reason."""
+        try:
+            return decode_document(data)
+        except DocumentRejected as error:
+            self.assertLess(len(str(error)), 500)
+            return None
+
     def use_endpoint(self, endpoint: Endpoint) -> None:
         """Do what an entry does with an endpoint: pass it on, connect to it, name it."""
         sent: list[StoreStep] = []
@@ -195,8 +206,7 @@
         reader.receive(decode(encode_body(sent[0])))
         HttpClient(endpoint.address)
         digest_of_endpoint(endpoint.key)
-        names = {"vm": "n1", "address": "n1:1", "domain": "east", "passes_on": True}
-        decode(encode_body(LeavingEndpoints(**names, endpoints=[list(endpoint.key)])))
+        pass_on([list(endpoint.key)])
         port = int(endpoint.address.rpartition(":")[2])
         self.assertTrue(0 < port < 65536)
         request = Request(method="GET", target="/", headers=[], body=b"")
@@ -228,10 +238,8 @@
     @FUZZ
     @given(documents(REGISTRATION))
     def test_registrations(self, data: bytes) -> None:
-        try:
-            endpoint = decode_endpoint("i-1", data)
-        except DocumentRejected as error:
-            self.assertLess(len(str(error)), 500)
+        endpoint = self.decoded(lambda text: decode_endpoint("i-1", text), data)
+        if endpoint is None:
             return
         self.use_endpoint(endpoint)
 
@@ -239,35 +247,27 @@
     @FUZZ
     @given(documents(REPORT))
     def test_reports(self, data: bytes) -> None:
-        try:
-            report = decode_report(data)
-        except DocumentRejected as error:
-            self.assertLess(len(str(error)), 500)
+        report = self.decoded(decode_report, data)
+        if report is None:
             return
         rows = [[*name, version] for name, version in (report.resident | report.loading).items()]
-        names = {"vm": "n1", "address": "n1:1", "domain": "east", "passes_on": True}
-        decode(encode_body(LeavingEndpoints(**names, endpoints=[rows, report.started_ms])))
+        pass_on([rows, report.started_ms])
 
     @seed(1)
     @FUZZ
     @given(documents(VERSION))
     def test_versions(self, data: bytes) -> None:
-        try:
-            version = decode_version(data)
-        except DocumentRejected as error:
-            self.assertLess(len(str(error)), 500)
+        version = self.decoded(decode_version, data)
+        if version is None:
             return
-        names = {"vm": "n1", "address": "n1:1", "domain": "east", "passes_on": True}
-        decode(encode_body(LeavingEndpoints(**names, endpoints=[list(version)])))
+        pass_on([list(version)])
 
     @seed(1)
     @FUZZ
     @given(documents({**config(), "limits": config()["limits"]}))
     def test_configurations(self, data: bytes) -> None:
-        try:
-            table = decode_table(data)
-        except DocumentRejected as error:
-            self.assertLess(len(str(error)), 500)
+        table = self.decoded(decode_table, data)
+        if table is None:
             return
         self.assertIsInstance(table.version, int)
         self.assertLess(table.version, 2**63)
--- a/tests/test_relay_store_feed.py
+++ b/tests/test_relay_store_feed.py
@@ -19,10 +19,9 @@
 from skylarkrack.messages import StoreStep
 from skylarkrack.relay._store_feed import StoreFeed
 from skylarkrack.wire import decode, encode_body
-from standins.platform_store import PlatformStore
 from tests.platform_builders import as_bytes, config, registration
 from tests.relay_builders import endpoint
-from tests.store_fleet import start_entries
+from tests.store_fleet import start_entries, start_store
 from tests.test_relay_fleet import until
 
 
@@ -157,11 +156,8 @@
     """Four entries of one failure domain before one store."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = PlatformStore()
-        await self.platform.start("127.0.0.1:0")
+        self.platform = await start_store()
         self.addAsyncCleanup(self.platform.close)
-        self.platform.put("op/config", as_bytes(config()))
-        self.platform.put("servers/i-1", as_bytes(registration("10.0.0.1:80")))
         self.entries, self.watchers = await start_entries(self.platform, 4)
         self.addAsyncCleanup(self.stop, *range(4))
         await until(lambda: all(e.count_entries() == 4 for e in self.entries))
