Log how long a close takes in an entry, and an event loop that is behind

Neither was visible: CALLER_LEFT told only how long the caller had waited, and the delay of the event loop was a histogram over the whole run.

The reader of a caller's connection reports its end in the callback that reads it; the time from there to the end of the request is took_ms.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -103,6 +103,7 @@
     WATCH_FAILED = 768
     STEP_TOO_LARGE = 769
     TASK_FAILED = 770
+    EVENT_LOOP_BEHIND = 771
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -50,6 +50,11 @@
 """
 
 
+LOGGED_LAG_MS = 100.0
+LAG_LOG_INTERVAL_MS = 1000.0
+"""Delay of the event loop that is logged, and the time between two lines about it."""
+
+
 class RelayEntry:
     """An entry: its servers, its shared components and its exchange of state with other processes.
 
@@ -64,6 +69,8 @@
         "_gossip",
         "_health_prober",
         "_is_draining",
+        "_lag_checked_ms",
+        "_longest_lag_ms",
         "_readiness_server",
         "_request_handler",
         "_route_explainer",
@@ -124,6 +131,8 @@
         self._status_server = StatusServer(sources, limits=ServerLimits())
         self._is_draining = False
         self._started_ms = 0.0
+        self._lag_checked_ms = float("-inf")
+        self._longest_lag_ms = 0.0
 
     async def start(self) -> None:
         """Start all servers and the exchange of state; raises `OSError` for an address in use."""
@@ -236,8 +245,16 @@
         self._share_connections()
         slept_from_ms = monotonic_ms()
         await asyncio.sleep(TICK_MS / 1000)
-        lag_ms = monotonic_ms() - slept_from_ms - TICK_MS
+        self._record_lag(monotonic_ms(), monotonic_ms() - slept_from_ms - TICK_MS)
+
+    def _record_lag(self, now_ms: float, lag_ms: float) -> None:
         self._context.metrics.observe_ms("event_loop_lag_ms", lag_ms)
+        self._longest_lag_ms = max(self._longest_lag_ms, lag_ms)
+        if now_ms - self._lag_checked_ms < LAG_LOG_INTERVAL_MS:
+            return
+        if self._longest_lag_ms >= LOGGED_LAG_MS:
+            log(Event.EVENT_LOOP_BEHIND, longest_ms=round(self._longest_lag_ms))
+        self._longest_lag_ms, self._lag_checked_ms = 0.0, now_ms
 
     def _share_connections(self) -> None:
         """Divide the connections that endpoints accept among the live entries."""
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -74,7 +74,7 @@
     """Forwards one admitted request until it has its final response.
 
     *state* is "placing" until the request is written to an endpoint, "sent" after, and "ended" at
-    the end.
+    the end. *caller_left_ms* is when the caller's close was read, or None.
     """
 
     __slots__ = (
@@ -89,6 +89,7 @@
         "_request",
         "_responder",
         "_sent_ms",
+        "caller_left_ms",
         "pending",
         "state",
     )
@@ -114,6 +115,7 @@
         self._sent_ms = 0.0
         # Whether the endpoint has ended the last run, or did not begin it.
         self._is_run_over = True
+        self.caller_left_ms: float | None = None
         self.state = "placing"
 
     @property
@@ -130,6 +132,10 @@
         route = self.pending.route
         return self.state == "sent" and not route.is_idempotent and not route.is_stream
 
+    def caller_left(self) -> None:
+        """Record that the caller's close was read."""
+        self.caller_left_ms = monotonic_ms()
+
     async def run(self) -> None:
         """Forward the request, and write its response or a refusal to the caller."""
         try:
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -37,6 +37,7 @@
             self._refuse(responder, refusal, incoming)
             return
         exchange = Exchange(self._context, request, responder, pending)
+        responder.on_caller_left = exchange.caller_left
         task = self._context.tasks.spawn(exchange.run())
         self._task_by_exchange[exchange] = task
         task.add_done_callback(lambda _: self._task_by_exchange.pop(exchange))
@@ -56,6 +57,7 @@
                 state=exchange.state,
                 sends=exchange.sends,
                 waited_ms=round(monotonic_ms() - now_ms),
+                took_ms=round(monotonic_ms() - (exchange.caller_left_ms or now_ms)),
             )
             self._context.metrics.count("callers_left_total")
             raise
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -67,8 +67,40 @@
         return None
 
 
+class _CallerReader(asyncio.StreamReader):
+    """The bytes of a caller's connection.
+
+    *has_ended* is set, and *on_end* called, in the callback of the event loop that reads the
+    connection's close or reset; bytes before it may still be buffered.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit, loop=asyncio.get_running_loop())
+        self.has_ended = False
+        self.on_end: Callable[[], None] = lambda: None
+
+    def feed_eof(self) -> None:
+        """Record a close."""
+        super().feed_eof()
+        self._end()
+
+    def set_exception(self, error: Exception) -> None:
+        """Record a reset."""
+        super().set_exception(error)
+        self._end()
+
+    def _end(self) -> None:
+        if not self.has_ended:
+            self.has_ended = True
+            self.on_end()
+
+
 class Responder:
-    """Writes the response to one request; nothing may be written after `end` or `cut`."""
+    """Writes the response to one request; nothing may be written after `end` or `cut`.
+
+    *on_caller_left* is called once as soon as the caller's close or reset is read, even if bytes
+    before it are still to be handled.
+    """
 
     __slots__ = (
         "_connection",
@@ -78,12 +110,13 @@
         "_reader",
         "_writer",
         "has_started",
+        "on_caller_left",
     )
 
     def __init__(
         self,
         connection: h11.Connection,
-        reader: asyncio.StreamReader,
+        reader: "_CallerReader",
         writer: asyncio.StreamWriter,
         *,
         may_keep_alive: Callable[[], bool],
@@ -95,6 +128,7 @@
         self._has_ended = False
         self._pending_chunks: list[bytes] = []
         self.has_started = False
+        self.on_caller_left: Callable[[], None] | None = None
 
     @property
     def is_disconnected(self) -> bool:
@@ -104,7 +138,7 @@
     @property
     def has_caller_left(self) -> bool:
         """Whether the caller has closed its end of the connection, or the connection is closed."""
-        return self.is_disconnected or self._reader.at_eof()
+        return self.is_disconnected or self._reader.has_ended
 
     @property
     def has_ended(self) -> bool:
@@ -195,9 +229,8 @@
     async def start(self, address: str) -> None:
         """Listen on *address*, as `host:port`; raises `OSError` if that fails."""
         host, port = split_address(address)
-        limit = self._limits.head_bytes
-        self._server = await asyncio.start_server(
-            self._serve, host, port, limit=limit, backlog=LISTEN_BACKLOG
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, port, backlog=LISTEN_BACKLOG
         )
 
     @property
@@ -240,7 +273,11 @@
         """Whether connections are closed after their current or next response."""
         return self._is_closing or self._is_close_announced
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = _CallerReader(limit=self._limits.head_bytes)
+        return asyncio.StreamReaderProtocol(reader, self._serve)
+
+    async def _serve(self, reader: _CallerReader, writer: asyncio.StreamWriter) -> None:
         if len(self._connections) >= self._limits.connections or self._is_closing:
             writer.close()
             return
@@ -258,13 +295,23 @@
 class _Connection:
     """One caller's connection; requests are read and answered one after another."""
 
-    __slots__ = ("_h11", "_has_dropped_bytes", "_is_idle", "_reader", "_server", "_writer")
+    __slots__ = (
+        "_h11",
+        "_has_dropped_bytes",
+        "_is_idle",
+        "_reader",
+        "_responder",
+        "_server",
+        "_writer",
+    )
 
     def __init__(
-        self, server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, server: HttpServer, reader: _CallerReader, writer: asyncio.StreamWriter
     ) -> None:
         self._server = server
         self._reader = reader
+        reader.on_end = self._caller_left
+        self._responder: Responder | None = None
         self._writer = writer
         self._h11 = self._new_parser()
         self._has_dropped_bytes = False
@@ -304,7 +351,9 @@
             self._writer,
             may_keep_alive=lambda: not self._server.is_closing,
         )
+        self._responder = responder
         await self._handle(request, responder)
+        self._responder = None
         self._is_idle = True
         if not responder.has_ended or self._server.is_closing or self._has_dropped_bytes:
             return False
@@ -331,6 +380,11 @@
             log(Event.HANDLER_FAILED, server=self._server._name, error=repr(error))
             responder.cut()
 
+    def _caller_left(self) -> None:
+        responder, self._responder = self._responder, None
+        if responder is not None and responder.on_caller_left is not None:
+            responder.on_caller_left()
+
     async def _wait_for_close(self) -> None:
         """Return when the caller has closed the connection.
 
