End the run of a caller that left in the callback that reads its close

Cause: the close woke the task that waits for it, which woke the task that serves the connection, which cancelled the handler, which cancelled the exchange, whose connection closed one round later. The test counts 8 rounds of the event loop (9 for a reset) from the close to the end of the endpoint's connection. Rounds of small entries take 70 to 150 ms in a burst, so that this alone is more than the half second that there is.

Now the reader of the caller's connection tells the exchange in the callback that reads the end. The exchange cancels its task and closes the connection to the endpoint, whose socket is shut down at once. The task is cancelled before the connection ends, so that the end isn't taken for a lost answer, and the connection of a run that has ended is forgotten, as another request may use it.

Test: tests.test_relay_caller_close failed before with 8 and 9 rounds, 3 allowed.

--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -80,6 +80,7 @@
     __slots__ = (
         "_attempts",
         "_carriers",
+        "_connection",
         "_context",
         "_event_stream",
         "_is_run_over",
@@ -110,6 +111,8 @@
         self._last_placement: SendTo | None = None
         # Connections on which the request was answered.
         self._carriers: list[ClientConnection] = []
+        # The connection of the run in progress.
+        self._connection: ClientConnection | None = None
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._log = ExchangeLog(context, pending)
         self._sent_ms = 0.0
@@ -132,9 +135,17 @@
         route = self.pending.route
         return self.state == "sent" and not route.is_idempotent and not route.is_stream
 
-    def caller_left(self) -> None:
-        """Record that the caller's close was read."""
+    def caller_left(self, task: asyncio.Task) -> None:
+        """End the request, which runs in *task*, as its caller's close was read.
+
+        The connection to the endpoint is closed in the same callback. The tasks that lie between
+        it and the caller's connection take a round of the event loop each to end.
+        """
         self.caller_left_ms = monotonic_ms()
+        if not self.outlives_caller:
+            task.cancel()
+            if self._connection is not None:
+                self._connection.close()
 
     async def run(self) -> None:
         """Forward the request, and write its response or a refusal to the caller."""
@@ -178,7 +189,7 @@
             code = Code.ENDPOINT_LOST if self._attempts.runs else Code.CRASH_SUSPECT
             raise CrashSuspected(segments, code=code, outcome=outcome)
 
-    def _begin_send(self, endpoint: Endpoint) -> None:
+    def _begin_send(self, endpoint: Endpoint, connection: ClientConnection) -> None:
         self._check_sendable()
         if self._context.dispatcher.directory.is_evacuated(endpoint):
             # The evacuation became known after the request was placed.
@@ -188,6 +199,7 @@
             # The limit became known, or was used up, after the request was placed.
             raise _RetryRequest("rate limit", was_sent=False, may_have_run=False)
         self._is_run_over = False
+        self._connection = connection
         self.state = "sent"
 
     async def _place(self) -> SendTo:
@@ -229,6 +241,7 @@
                 response.close()
         finally:
             self._overdue_timer.cancel()
+            self._connection = None
             aborted_ms = None if self._is_run_over else monotonic_ms()
             load.end_run(endpoint.key, tokens=tokens, adapter_id=name, aborted_ms=aborted_ms)
             if self._context.dispatcher.waiting_count():
@@ -253,7 +266,7 @@
                 # There an endpoint's answer to an earlier send could be taken for one to this send.
                 excluded=self._carriers,
                 is_own=self._is_own_response,
-                before_send=lambda: self._begin_send(endpoint),
+                before_send=lambda connection: self._begin_send(endpoint, connection),
             )
         except LinkLost as error:
             now_ms = monotonic_ms()
--- a/src/skylarkrack/relay/_health_prober.py
+++ b/src/skylarkrack/relay/_health_prober.py
@@ -62,7 +62,7 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             # A failure to connect proves that the endpoint is unreachable.
             fresh=True,
-            before_send=lambda: self._begin_send(probe),
+            before_send=lambda _: self._begin_send(probe),
         )
         self._context.tasks.spawn(_end(response))
         return codec.decode_health(response.status, response.headers, endpoint.endpoint_id)
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -1,6 +1,7 @@
 """Admission of callers' requests: routes, API keys, quotas and requests that crash endpoints."""
 
 import asyncio
+from functools import partial
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Outcome, RequestRefused
@@ -37,14 +38,14 @@
             self._refuse(responder, refusal, incoming)
             return
         exchange = Exchange(self._context, request, responder, pending)
-        responder.on_caller_left = exchange.caller_left
         task = self._context.tasks.spawn(exchange.run())
+        responder.on_caller_left = partial(exchange.caller_left, task)
         self._task_by_exchange[exchange] = task
         task.add_done_callback(lambda _: self._task_by_exchange.pop(exchange))
         try:
             await asyncio.shield(task)
         except asyncio.CancelledError:
-            if task.cancelled():
+            if task.cancelled() and exchange.caller_left_ms is None:
                 # The API key was withdrawn. The connection closes without the end of the response.
                 return
             # The caller has left. A request that was sent and may not run twice continues.
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -124,7 +124,7 @@
         max_idle_ms: float | None = None,
         excluded: Collection[ClientConnection] = (),
         is_own: Callable[[Headers], bool] | None = None,
-        before_send: Callable[[], None] | None = None,
+        before_send: Callable[[ClientConnection], None] | None = None,
     ) -> ClientResponse:
         """Send a request and return its response once the head has been received.
 
@@ -133,7 +133,7 @@
         proves that nothing was sent; *max_idle_ms* bounds how long a reused connection may have
         been idle, and *excluded* holds connections that are not reused. *is_own* returns whether
         the headers are of a response to this request; other responses are skipped. *before_send*
-        is called once there is a connection; if it raises, nothing is sent.
+        is called with the connection once there is one; if it raises, nothing is sent.
 
         Raises `LinkLost` if the connection fails, a wait times out, or too many responses were
         skipped.
@@ -143,7 +143,7 @@
             connection = await self._connect(connect_timeout_ms or timeout_ms)
         try:
             if before_send is not None:
-                before_send()
+                before_send(connection)
             connection.send(self._head(method, target, headers, body), body)
             head = await _read_own_head(connection, timeout_ms, is_own)
         except BaseException:
--- a/src/skylarkrack/web/_connection.py
+++ b/src/skylarkrack/web/_connection.py
@@ -1,6 +1,7 @@
 """One client connection: sends requests and accepts only bytes that belong to a response."""
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 
@@ -172,6 +173,14 @@
             self._timer = None
         if self._transport is not None:
             self._transport.abort()
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        """Tell the server now; an aborted transport closes its socket in the loop's next round."""
+        connected = self._transport.get_extra_info("socket")
+        if connected is not None:
+            with contextlib.suppress(OSError):
+                connected.shutdown(socket.SHUT_WR)
 
     def _receive(self, data: bytes) -> None:
         try:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1343,4 +1343,12 @@
         test="tests.test_relay_odd_entries.TestDecoders"
         ".test_numbers_that_fit_into_no_message_are_rejected",
     ),
+    Guard(
+        name="relay-close-at-once",
+        file="relay/_request_handler.py",
+        code="responder.on_caller_left = partial(exchange.caller_left, task)",
+        without="pass",
+        test="tests.test_relay_caller_close.TestCallerClose"
+        ".test_a_close_reaches_the_endpoint_within_few_rounds",
+    ),
 )
