Decide about the waiting requests once for all that changed in a round

Now wake() only asks for a pass: at most one a round, 5 ms apart. A pass sends all requests that fit, not one: each is counted as load before the next is decided, and an endpoint with a limit gets one.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -70,7 +70,7 @@
         if isinstance(decision, WaitFor):
             entry.add_waiting(request, decision)
     started_s = time.perf_counter()
-    entry.next_ready(2.0)
+    entry.take_ready(2.0)
     pass_ms = (time.perf_counter() - started_s) * 1e3
     print(
         f"{engines} engines, {entries} entries: {decision_us:.0f} us a decision, "
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -579,25 +579,39 @@
         if request in self._waiting:
             self._waiting.remove(request)
 
-    def next_ready(self, now_ms: float) -> tuple[PendingRequest, SendTo | Refuse] | None:
-        """Remove and return the first queued request that can be sent or must be refused now.
+    def take_ready(self, now_ms: float) -> list[tuple[PendingRequest, SendTo | Refuse]]:
+        """Remove and return the queued requests that can be sent or must be refused now, in order.
 
-        Returns None if there is none. The endpoints that the others wait for are updated.
+        Each is counted as load before the next one is decided. Endpoints with a limit get one of
+        them at most: the others need what is left of the limit after it. The endpoints that the
+        remaining requests wait for are updated.
         """
+        ready: list[tuple[PendingRequest, SendTo | Refuse]] = []
         if not self._waiting:
-            return None
+            return ready
         context = self._placement_context(now_ms)
         for request in sorted(self._waiting, key=self._queue_key_of):
             decision = self._decide(request, context)
             if isinstance(decision, WaitFor):
-                request.waiting_at = decision.key
-                context.queued_by_key[decision.key] += 1
-                if request.need is not None:
-                    context.queued_tokens_by_key[decision.key] += request.need.prompt_tokens
+                self._count_queued(request, decision.key, context)
                 continue
+            if isinstance(decision, SendTo):
+                key = decision.endpoint.key
+                if key in context.limited_keys and key in context.sent_by_key:
+                    self._count_queued(request, key, context)
+                    continue
+                context.add_sent(key, request.need)
             self.remove_waiting(request)
-            return request, decision
-        return None
+            ready.append((request, decision))
+        return ready
+
+    @staticmethod
+    def _count_queued(request: PendingRequest, key: EndpointKey, context: PlacementContext) -> None:
+        """Let a request wait for an endpoint, ahead of those that are decided after it."""
+        request.waiting_at = key
+        context.queued_by_key[key] += 1
+        if request.need is not None:
+            context.queued_tokens_by_key[key] += request.need.prompt_tokens
 
     def record_reported_load(self, key: EndpointKey, load: ReportedLoad, now_ms: float) -> None:
         """Store the load in the head of an answer, before the end of its request is counted."""
--- a/src/skylarkrack/core/relay/_placement.py
+++ b/src/skylarkrack/core/relay/_placement.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatch
 from statistics import median_low
 
@@ -183,7 +183,8 @@
     it behind a number of other requests. *trial_latency_ms* returns the longest
     latency to assume of an endpoint, if any are paced. *queued_by_key* counts the requests that
     wait for an endpoint before the one that is placed, and *queued_tokens_by_key* sums their prompt
-    tokens. *max_gap_ms_by_service* holds the services whose prompts are admitted by agents.
+    tokens. *sent_by_key* is the load of the requests that are sent by earlier decisions of this
+    moment. *max_gap_ms_by_service* holds the services whose prompts are admitted by agents.
     """
 
     health: Health
@@ -212,6 +213,17 @@
     condition_by_key: dict[EndpointKey, "_EngineCondition"] = field(default_factory=dict)
     queued_by_key: Counter[EndpointKey] = field(default_factory=Counter)
     queued_tokens_by_key: Counter[EndpointKey] = field(default_factory=Counter)
+    sent_by_key: dict[EndpointKey, EndpointLoad] = field(default_factory=dict)
+
+    def add_sent(self, key: EndpointKey, need: ModelNeed | None) -> None:
+        """Count a request that is sent to an endpoint, and begins its run there a moment later."""
+        load = self.sent_by_key.get(key, EndpointLoad())
+        self.sent_by_key[key] = EndpointLoad(
+            runs=load.runs + 1,
+            tokens=load.tokens + (0 if need is None else need.tokens),
+            prefill_tokens=load.prefill_tokens + (0 if need is None else need.prompt_tokens),
+        )
+        self.condition_by_key.pop(key, None)
 
     def window_ms(self, service: str) -> float:
         """Return the prefill window of a service's engines."""
@@ -223,7 +235,9 @@
         The higher counts: reports are too old, and messages of entries too late, by turns.
         """
         known = self.load.total(key, self.now_ms).runs
-        return max(known, self.reported_loads.runs(key, self.load.own_runs(key), self.now_ms))
+        reported = self.reported_loads.runs(key, self.load.own_runs(key), self.now_ms)
+        sent = self.sent_by_key.get(key)
+        return max(known, reported) + (0 if sent is None else sent.runs)
 
     def rate_wait_ms(self, key: EndpointKey) -> float:
         """Return the wait for the endpoint's rate limit in ms."""
@@ -432,6 +446,14 @@
         total = EndpointLoad(
             runs=figures.runs, tokens=figures.cache_tokens, prefill_tokens=figures.unread_tokens
         )
+    sent = context.sent_by_key.get(key)
+    if sent is not None:
+        total = replace(
+            total,
+            runs=total.runs + sent.runs,
+            tokens=total.tokens + sent.tokens,
+            prefill_tokens=total.prefill_tokens + sent.prefill_tokens,
+        )
     runs, slots = total.runs, endpoint.slots or shape.slots
     slowness, waits_for = engine_slowness(context.speeds.known_slowness(key)), ()
     is_backing_off = context.health.is_backing_off(key, now_ms)
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -245,7 +245,7 @@
             aborted_ms = None if self._is_run_over else monotonic_ms()
             load.end_run(endpoint.key, tokens=tokens, adapter_id=name, aborted_ms=aborted_ms)
             if self._context.dispatcher.waiting_count():
-                asyncio.get_running_loop().call_soon(self._context.placement_queue.wake)
+                self._context.placement_queue.wake()
 
     async def _send(self, placement: SendTo) -> ClientResponse:
         """Send the request and return the head of its response; raises `_RetryRequest`."""
--- a/src/skylarkrack/relay/_placement_queue.py
+++ b/src/skylarkrack/relay/_placement_queue.py
@@ -10,6 +10,9 @@
 TICK_MS = 25.0
 """Longest time between two decisions about the waiting requests."""
 
+PASS_INTERVAL_MS = 5.0
+"""Shortest time between two decisions about the waiting requests."""
+
 
 class PlacementQueue:
     """The requests that wait for placement at this entry.
@@ -21,6 +24,7 @@
 
     __slots__ = (
         "_decision_by_request",
+        "_next_pass_s",
         "_timer",
         "dispatcher",
         "on_decided",
@@ -32,6 +36,7 @@
         self.dispatcher = dispatcher
         self._decision_by_request: dict[PendingRequest, asyncio.Future] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._next_pass_s = float("-inf")
         self.on_wait: Callable[[EndpointKey], None] = lambda key: None
         self.on_leaving: Callable[[EndpointKey], None] = lambda key: None
         self.on_decided: Callable[[], None] = lambda: None
@@ -51,17 +56,37 @@
         return decision
 
     def wake(self) -> None:
-        """Decide again about the waiting requests; at most one is released for each call."""
-        now_ms = monotonic_ms()
-        while (ready := self.dispatcher.next_ready(now_ms)) is not None:
-            pending, decision = ready
+        """Decide again about the waiting requests soon, as something has changed.
+
+        All calls of one round of the event loop lead to one pass over the requests, at least
+        `PASS_INTERVAL_MS` after the last one. A pass takes longer the more requests wait, and the
+        messages that call for one come the faster the more adapters move.
+        """
+        if not self._decision_by_request:
+            self.on_decided()
+        else:
+            self._schedule_pass(max(asyncio.get_running_loop().time(), self._next_pass_s))
+
+    def _run_pass(self) -> None:
+        """Decide again about the waiting requests now."""
+        self._timer = None
+        now_s = asyncio.get_running_loop().time()
+        self._next_pass_s = now_s + PASS_INTERVAL_MS / 1000
+        for pending, decision in self.dispatcher.take_ready(monotonic_ms()):
             future = self._decision_by_request.get(pending)
             if future is not None and not future.done():
                 future.set_result(decision)
-                # The next decision has to include the load of this request.
-                break
         self.on_decided()
-        self._restart_timer()
+        if self._decision_by_request:
+            self._schedule_pass(now_s + TICK_MS / 1000)
+
+    def _schedule_pass(self, due_s: float) -> None:
+        """Run a pass at *due_s*, unless one is due before."""
+        if self._timer is not None:
+            if self._timer.when() <= due_s:
+                return
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_at(due_s, self._run_pass)
 
     def receive_grant(self, key: EndpointKey, number: int, version: int, now_ms: float) -> bool:
         """Send a waiting request that the agent of an engine granted; return whether it is sent.
@@ -97,8 +122,7 @@
         self._decision_by_request[pending] = future
         self.on_wait(decision.key)
         self.on_decided()
-        if self._timer is None:
-            self._restart_timer()
+        self._schedule_pass(asyncio.get_running_loop().time() + TICK_MS / 1000)
         is_granted = False
         try:
             decided = await future
@@ -108,14 +132,5 @@
             del self._decision_by_request[pending]
             self.dispatcher.remove_waiting(pending)
             # After a grant the agent decides who is next, and the timer about the rest.
-            if self._decision_by_request and not is_granted:
-                asyncio.get_running_loop().call_soon(self.wake)
-            elif not is_granted:
-                self.on_decided()
-
-    def _restart_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if self._decision_by_request:
-            self._timer = asyncio.get_running_loop().call_later(TICK_MS / 1000, self.wake)
+            if not is_granted:
+                self.wake()
--- a/tests/relay_admission_simulation.py
+++ b/tests/relay_admission_simulation.py
@@ -378,8 +378,8 @@
     def _wake(self, entry: SimulatedEntry) -> None:
         if entry.vm in self.dead:
             return
-        while (ready := entry.dispatcher.next_ready(self.now_ms)) is not None:
-            self._carry_out(entry, *ready)
+        for request, decision in entry.dispatcher.take_ready(self.now_ms):
+            self._carry_out(entry, request, decision)
 
     def _tick(self, entry: SimulatedEntry) -> None:
         if entry.vm in self.dead:
--- a/tests/relay_fleet_simulation.py
+++ b/tests/relay_fleet_simulation.py
@@ -322,9 +322,8 @@
         self._after(WAKE_MS, self._wake_regularly, entry)
 
     def _wake(self, entry: SimulatedEntry) -> None:
-        ready = entry.dispatcher.next_ready(self.now_ms)
-        if ready is not None:
-            self._carry_out(entry, *ready)
+        for request, decision in entry.dispatcher.take_ready(self.now_ms):
+            self._carry_out(entry, request, decision)
 
     # Messages between entries, and to agents
 
--- a/tests/relay_pace_simulation.py
+++ b/tests/relay_pace_simulation.py
@@ -222,9 +222,8 @@
             self.at(self.now_ms + WAKE_MS, self._wake_regularly, vm)
 
     def _wake(self, vm: str) -> None:
-        ready = self.entry_by_vm[vm].next_ready(self.now_ms)
-        if ready is not None:
-            self._carry_out(vm, *ready)
+        for request, decision in self.entry_by_vm[vm].take_ready(self.now_ms):
+            self._carry_out(vm, request, decision)
 
     # Datagrams
 
--- a/tests/test_relay_admission_path.py
+++ b/tests/test_relay_admission_path.py
@@ -158,6 +158,7 @@
             ):
                 await self._check_sent_unasked(fleet, is_answered=False)
                 # The agent is known to be silent: the next one doesn't wait.
+                await until(lambda: fleet.dispatcher.admission.is_silent(fleet.key, monotonic_ms()))
                 with mock.patch.object(PlacementQueue, "_wait", side_effect=AssertionError):
                     await fleet.send("r2")
             self.assertEqual(fleet.counter("admission_grants_total", "used"), 0)
@@ -182,7 +183,7 @@
             self.addCleanup(sent.cancel)
             await until(is_listed)
             clock.advance(ANSWER_TIMEOUT_MS - 1.0)
-            fleet.queue.wake()
+            fleet.queue._run_pass()
             self.assertEqual((fleet.waiting, fleet.worker.received), (1, []))
             due_s = fleet.queue._timer.when() - asyncio.get_running_loop().time()
             due_ms = round(due_s * 1000, 3)
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -71,12 +71,12 @@
         entry = dispatcher(one, states=(state(0.0),))
         waiting = pending_request()
         entry.add_waiting(waiting, entry.decide(waiting, 0.0))
-        self.assertIsNone(entry.next_ready(10.0))
+        self.assertEqual(entry.take_ready(10.0), [])
         entry.observe(EngineStateReceived(key=one.key, state=state(20.0, "a1")))
-        ready, decision = entry.next_ready(20.0)
+        ((ready, decision),) = entry.take_ready(20.0)
         self.assertIs(ready, waiting)
         self.assertIsInstance(decision, SendTo)
-        self.assertIsNone(entry.next_ready(20.0))
+        self.assertEqual(entry.take_ready(20.0), [])
 
     def test_the_more_urgent_goes_first(self) -> None:
         one = endpoint("e1")
@@ -85,7 +85,7 @@
             waiting = pending_request(name, priority=priority)
             entry.add_waiting(waiting, entry.decide(waiting, 0.0))
         entry.observe(EngineStateReceived(key=one.key, state=state(20.0, "a1")))
-        names = [entry.next_ready(20.0)[0].call.request_id for _ in range(3)]
+        names = [ready.call.request_id for ready, _ in entry.take_ready(20.0)]
         self.assertEqual(names, ["urgent", "usual", "late"])
 
     def test_an_announced_version_is_waited_for(self) -> None:
@@ -167,8 +167,8 @@
         entry = dispatcher(endpoint("e1"), states=(state(0.0),))
         waiting = pending_request(deadline_ms=1000.0)
         entry.add_waiting(waiting, entry.decide(waiting, 0.0))
-        self.assertIsNone(entry.next_ready(100.0))
-        ready, decision = entry.next_ready(900.0)
+        self.assertEqual(entry.take_ready(100.0), [])
+        ((ready, decision),) = entry.take_ready(900.0)
         self.assertIs(ready, waiting)
         self.assertIsInstance(decision, Refuse)
 
--- a/tests/test_relay_evacuation_state.py
+++ b/tests/test_relay_evacuation_state.py
@@ -273,11 +273,11 @@
         self.assertEqual(decision, WaitFor(key=self.east.key, cost_ms=decision.cost_ms))
         self.dispatcher.add_waiting(pending, decision)
         self.evacuate("east")
-        self.assertIsNone(self.dispatcher.next_ready(10.0))
+        self.assertEqual(self.dispatcher.take_ready(10.0), [])
         self.assertEqual(pending.waiting_at, self.west.key)
         self.assertEqual(self.dispatcher.wanted_at(self.east.key), {})
         self.evacuate("east", "west")
-        self.assertIsInstance(self.dispatcher.next_ready(20.0)[1], Refuse)
+        self.assertIsInstance(self.dispatcher.take_ready(20.0)[0][1], Refuse)
 
     def test_an_endpoint_that_registers_during_the_evacuation(self) -> None:
         self.evacuate("north")
--- a/tests/test_relay_policy.py
+++ b/tests/test_relay_policy.py
@@ -58,8 +58,8 @@
         for row in [row for row in self._ends if row[0] <= now_ms]:
             self._ends.remove(row)
             self.entry.load.end_run(row[2], tokens=row[1].need.tokens)
-        while (ready := self.entry.next_ready(now_ms)) is not None:
-            self._settle(*ready, now_ms)
+        for request, decision in self.entry.take_ready(now_ms):
+            self._settle(request, decision, now_ms)
 
     def most_read(self) -> int:
         """Return the most prompt tokens that one engine got within the prefill window."""
--- a/tests/test_relay_reported_load.py
+++ b/tests/test_relay_reported_load.py
@@ -264,8 +264,8 @@
             self._carry_out(entry, pending, decision)
 
     def _wake(self, entry: Dispatcher) -> None:
-        while (ready := entry.next_ready(self.now_ms)) is not None:
-            self._carry_out(entry, *ready)
+        for pending, decision in entry.take_ready(self.now_ms):
+            self._carry_out(entry, pending, decision)
         if entry.waiting_count():
             self._after(25.0, self._wake, entry)
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1351,4 +1351,20 @@
         test="tests.test_relay_caller_close.TestCallerClose"
         ".test_a_close_reaches_the_endpoint_within_few_rounds",
     ),
+    Guard(
+        name="relay-one-pass",
+        file="relay/_placement_queue.py",
+        code="self._schedule_pass(max(asyncio.get_running_loop().time(), self._next_pass_s))",
+        without="self._run_pass()",
+        test="tests.test_relay_placement_queue.TestPasses"
+        ".test_the_messages_of_one_round_lead_to_one_decision",
+    ),
+    Guard(
+        name="relay-sent-counts",
+        file="core/relay/_dispatch.py",
+        code="                context.add_sent(key, request.need)\n",
+        without="",
+        test="tests.test_relay_placement_queue.TestOnePass"
+        ".test_each_request_that_is_sent_counts_for_the_next",
+    ),
 )
