--- a/tools/guards.py
+++ b/tools/guards.py
@@ -776,8 +776,8 @@
     Guard(
         name="relay-reported-load",
         file="core/relay/_placement.py",
-        code="return max(known, self.reported_loads.runs(",
-        without="return min(known, self.reported_loads.runs(",
+        code="return max(known, reported) + ",
+        without="return min(known, reported) + ",
         test="tests.test_relay_reported_load.TestPlacement.test_the_endpoint_with_the_least_remaining_work_is_chosen",
     ),
     Guard(
@@ -1367,4 +1367,28 @@
         test="tests.test_relay_placement_queue.TestOnePass"
         ".test_each_request_that_is_sent_counts_for_the_next",
     ),
+    Guard(
+        name="relay-late-in-grace",
+        file="core/relay/_grace.py",
+        code="return now_ms + needed_ms <= self._end_ms",
+        without="return True",
+        test="tests.test_relay_planned_stop.TestLateRequests"
+        ".test_a_request_whose_body_came_late_is_refused_before_it_is_passed_on",
+    ),
+    Guard(
+        name="relay-late-in-queue",
+        file="relay/_request_handler.py",
+        code="            exchange.refuse_if_late(now_ms)",
+        without="            pass",
+        test="tests.test_relay_planned_stop.TestLateRequests"
+        ".test_a_request_that_waits_is_refused_before_the_end_of_the_grace",
+    ),
+    Guard(
+        name="relay-answer-at-the-end",
+        file="relay/_entry.py",
+        code="self._request_handler.interrupt_all()",
+        without="0",
+        test="tests.test_relay_planned_stop.TestEndOfTheGrace"
+        ".test_a_request_that_may_have_run_gets_an_answer",
+    ),
 )
