Refuse what can't end within the grace, and answer what didn't

Cause: whether a request is taken was decided when its connection was, but it reaches an endpoint at a moment of its own: after a body that came slowly, a wait in the queue, a connect. Nothing compared what is left of the grace with what the request takes, and the end of the grace aborted all connections.

What doesn't fit is refused as not run, with others ready to take it. What is open at the end gets 502 unknown, or 503 if it was not sent; a stream that has begun is cut.

Looked for elsewhere: an agent takes no requests, and its stop interrupts none. The product's own entry waits for all answers without a bound of its own; not changed.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -50,6 +50,7 @@
     Explanation,
     explain_placement,
 )
+from skylarkrack.core.relay._grace import GracePeriod
 from skylarkrack.core.relay._health import NO_OUTCOMES, Health, OutcomeCounts
 from skylarkrack.core.relay._health_probes import (
     PROBE_TIMEOUT_MS,
@@ -150,6 +151,7 @@
     "FeedKind",
     "FeedStep",
     "FinalFailure",
+    "GracePeriod",
     "Health",
     "HealthProbe",
     "HealthProbes",
--- a/src/skylarkrack/relay/_context.py
+++ b/src/skylarkrack/relay/_context.py
@@ -6,7 +6,7 @@
 from skylarkrack._metrics import Metrics
 from skylarkrack._tasks import Tasks
 from skylarkrack.core import RetryBudget
-from skylarkrack.core.relay import CrashTracker, Dispatcher, QuotaLimiter
+from skylarkrack.core.relay import CrashTracker, Dispatcher, GracePeriod, QuotaLimiter
 from skylarkrack.relay._codec import RelayCodec
 from skylarkrack.relay._endpoint_clients import EndpointClients
 from skylarkrack.relay._placement_queue import PlacementQueue
@@ -27,6 +27,7 @@
     burn: BurnMeter
     quota_limiter: QuotaLimiter
     crash_tracker: CrashTracker
+    grace: GracePeriod
     origin_lookup: StreamOriginLookup
     tasks: Tasks
     retry_budget_by_service: dict[str, RetryBudget]
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -13,6 +13,7 @@
 from skylarkrack.core.relay import (
     CrashTracker,
     Dispatcher,
+    GracePeriod,
     QuotaLimiter,
     RoutingTable,
 )
@@ -43,6 +44,12 @@
 SHUTDOWN_RESERVE_MS = 500.0
 """Part of the grace period that is reserved for the end of the process."""
 
+LAST_ANSWERS_MS = 200.0
+"""Part of the reserve in which the answers to interrupted requests are written."""
+
+LATE_CHECK_MS = 100.0
+"""Time between checks, during a planned stop, for waiting requests that can't end in time."""
+
 MAX_CONNECTIONS = 3000
 """Bounds the connections of callers; further ones are refused.
 
@@ -96,6 +103,7 @@
             burn=BurnMeter(),
             quota_limiter=QuotaLimiter(is_shared=policy.is_quota_shared),
             crash_tracker=CrashTracker(),
+            grace=GracePeriod(),
             origin_lookup=StreamOriginLookup(tasks=self._tasks, metrics=metrics),
             tasks=self._tasks,
             retry_budget_by_service={},
@@ -148,18 +156,37 @@
         """Carry out a planned stop.
 
         Reports unready, waits until the load balancer sends nothing more, and then lets running
-        requests finish within the grace period.
+        requests finish within the grace period. Requests that could not finish in it are refused;
+        those that didn't get an answer that promises nothing.
         """
         own = self._dispatcher.load.own(monotonic_ms())
         log(Event.DRAIN_STARTED, requests=sum(load.runs for load in own.values()))
         self.announce_close()
+        drain_ms = self._settings.grace_ms - SHUTDOWN_RESERVE_MS
+        self._context.grace.begin(monotonic_ms() + drain_ms)
+        self._tasks.spawn(repeat(self._refuse_late, name="late requests"))
         await asyncio.sleep(DRAIN_DELAY_MS / 1000)
-        left_ms = self._settings.grace_ms - DRAIN_DELAY_MS - SHUTDOWN_RESERVE_MS
+        if not await self._drain_callers(drain_ms - DRAIN_DELAY_MS):
+            interrupted = self._request_handler.interrupt_all()
+            log(
+                Event.STREAM_CUT,
+                reason="the grace of a planned stop is over",
+                requests=interrupted,
+            )
+            await self._drain_callers(LAST_ANSWERS_MS)
+
+    async def _drain_callers(self, timeout_ms: float) -> bool:
+        """Wait until all callers have their answers; return whether that was in time."""
         try:
-            async with asyncio.timeout(left_ms / 1000):
+            async with asyncio.timeout(timeout_ms / 1000):
                 await self._caller_server.drain()
         except TimeoutError:
-            log(Event.STREAM_CUT, reason="the grace of a planned stop is over")
+            return False
+        return True
+
+    async def _refuse_late(self) -> None:
+        self._request_handler.refuse_late()
+        await asyncio.sleep(LATE_CHECK_MS / 1000)
 
     def announce_close(self) -> None:
         """Report unready, and close each caller's connection after its next response."""
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -6,7 +6,15 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import Attempts, Endpoint, FinalFailure, PendingRequest, SendTo
+from skylarkrack.core.relay import (
+    Attempts,
+    Endpoint,
+    FinalFailure,
+    GracePeriod,
+    PendingRequest,
+    Refuse,
+    SendTo,
+)
 from skylarkrack.relay._codec import ForwardParameters, ResponseClassification
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._event_stream import EVENT_END, EventStream
@@ -52,6 +60,10 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 """Media type of streams; a response that names none is taken for one on a streamed route."""
 
+STOP_REASON = "this process stops"
+STOP_RETRY_AFTER_MS = 0
+"""Reason and retry-after of a request that is refused during a planned stop: others serve now."""
+
 _SUCCESS = 200
 _REDIRECTION = 300
 _SERVER_ERROR = 500
@@ -83,6 +95,7 @@
         "_connection",
         "_context",
         "_event_stream",
+        "_is_interrupted",
         "_is_run_over",
         "_last_placement",
         "_log",
@@ -118,6 +131,7 @@
         self._sent_ms = 0.0
         # Whether the endpoint has ended the last run, or did not begin it.
         self._is_run_over = True
+        self._is_interrupted = False
         self.caller_left_ms: float | None = None
         self.state = "placing"
 
@@ -158,6 +172,37 @@
             self._fail(_refusal_from(failure, "no answer in time"))
         except RequestRefused as refusal:
             self._fail(refusal)
+        except asyncio.CancelledError:
+            if not self._is_interrupted:
+                raise
+            self._fail(self._interruption())
+
+    def refuse_if_late(self, now_ms: float) -> None:
+        """Refuse the request if it waits for an endpoint and could not end before the process."""
+        if not self._may_begin(now_ms):
+            refusal = Refuse(
+                code=Code.DRAINING, reason=STOP_REASON, retry_after_ms=STOP_RETRY_AFTER_MS
+            )
+            self._context.placement_queue.refuse(self.pending, refusal)
+
+    def interrupt(self, task: asyncio.Task) -> None:
+        """End the request, which runs in *task*, with an answer, as the process stops."""
+        self._is_interrupted = True
+        task.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
+    def _may_begin(self, now_ms: float) -> bool:
+        pending = self.pending
+        return self._context.grace.may_begin(
+            pending.route, deadline_ms=pending.deadline_ms, now_ms=now_ms
+        )
+
+    def _interruption(self) -> RequestRefused:
+        """Return what is known of a request that the end of the process interrupted."""
+        if self._attempts.runs or not self._is_run_over:
+            return RequestRefused(STOP_REASON, code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
+        return _stop_refusal()
 
     async def _send_until_answered(self) -> None:
         if self._event_stream is not None:
@@ -178,8 +223,14 @@
                 self._log.retried(placement, str(retry))
 
     def _check_sendable(self) -> None:
-        """Raise `RequestRefused` if the caller has left or the request may crash an endpoint."""
+        """Raise `RequestRefused` if the request must not be sent, or not once more.
+
+        The caller has left, the process stops before the request could end, or it may crash an
+        endpoint.
+        """
         outcome = Outcome.UNKNOWN if self._attempts.runs else Outcome.NOT_RUN
+        if not self._may_begin(monotonic_ms()):
+            raise self._interruption()
         if self._responder.has_caller_left:
             raise RequestRefused("the caller has left", code=Code.CANCELLED, outcome=outcome)
         segments = self.pending.call.shared_segments
@@ -520,6 +571,8 @@
 
     def _record_end(self, status: int, placement: SendTo) -> None:
         self.state, self._is_run_over = "ended", True
+        now_ms = monotonic_ms()
+        self._context.grace.record_run(self.pending.route, now_ms - self._sent_ms)
         segments = self.pending.call.shared_segments if status < _REDIRECTION else ()
         self._context.crash_tracker.record_success(
             self.pending.fingerprint, monotonic_ms(), segments=segments
@@ -536,6 +589,16 @@
         write_refusal(self._responder, refusal, headers)
 
 
+def check_grace(grace: GracePeriod, pending: PendingRequest, now_ms: float) -> None:
+    """Raise `RequestRefused` if the process stops before a run that begins now is likely to end."""
+    if not grace.may_begin(pending.route, deadline_ms=pending.deadline_ms, now_ms=now_ms):
+        raise _stop_refusal()
+
+
+def _stop_refusal() -> RequestRefused:
+    return RequestRefused(STOP_REASON, code=Code.DRAINING, retry_after_ms=STOP_RETRY_AFTER_MS)
+
+
 def _is_event_stream(response: ClientResponse) -> bool:
     """Return whether a response is a success whose body may be a stream of events."""
     content_type = response.header(b"content-type") or EVENT_STREAM_TYPE
--- a/src/skylarkrack/relay/_placement_queue.py
+++ b/src/skylarkrack/relay/_placement_queue.py
@@ -103,6 +103,13 @@
                 return True
         return False
 
+    def refuse(self, pending: PendingRequest, decision: Refuse) -> None:
+        """Refuse a request; does nothing if it doesn't wait."""
+        future = self._decision_by_request.get(pending)
+        if future is not None and not future.done():
+            self.dispatcher.remove_waiting(pending)
+            future.set_result(decision)
+
     def mark_leaving(self, key: EndpointKey) -> bool:
         """Place no more requests at a leaving endpoint; return whether that is new."""
         is_new = self.dispatcher.directory.mark_leaving(key)
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -10,7 +10,7 @@
 from skylarkrack.relay._caller_check import check_caller, rate_exceeded
 from skylarkrack.relay._codec import IncomingRequest
 from skylarkrack.relay._context import EntryContext
-from skylarkrack.relay._exchange import Exchange
+from skylarkrack.relay._exchange import Exchange, check_grace
 from skylarkrack.relay._refusals import log_fields_of, write_refusal
 from skylarkrack.web import Request, Responder
 
@@ -75,6 +75,19 @@
                 cancelled += 1
         return cancelled
 
+    def refuse_late(self) -> None:
+        """Refuse the waiting requests that could not end before the process does."""
+        now_ms = monotonic_ms()
+        for exchange in list(self._task_by_exchange):
+            exchange.refuse_if_late(now_ms)
+
+    def interrupt_all(self) -> int:
+        """End the requests in progress, as the process stops; return how many there were."""
+        open_requests = list(self._task_by_exchange.items())
+        for exchange, task in open_requests:
+            exchange.interrupt(task)
+        return len(open_requests)
+
     def refuse_unreadable(self, responder: Responder, refusal: RequestRefused) -> None:
         """Refuse a request that could not be parsed."""
         self._refuse(responder, refusal, None)
@@ -84,9 +97,11 @@
         check = check_caller(self._context, request, incoming, now_ms)
         if check.refusal is not None:
             raise check.refusal
+        pending = check.pending_request()
+        check_grace(self._context.grace, pending, now_ms)
         if check.organisation is not None:
             self._take_quota(check.organisation, check.cost, now_ms)
-        return check.pending_request()
+        return pending
 
     def _take_quota(self, organisation: TableOrganisation, cost: float, now_ms: float) -> None:
         """Charge a request to the quota; raises `RateExceeded`."""
