Take no stream up on an old list or on silence

Cause: an entry was certain of one version if it had looked at its list of registrations every 2 s, or if all endpoints of the list were old. The age of the look was taken for that of the list, and an entry that asked and was answered by nobody relied on itself alone.

Now the list has an age: that of the question whose answer it is, or of a step with something new. An entry is certain only with a list of under 2 s and ticks on time, nothing received in the 500 ms after a stall counts as new, and its own certainty needs one answer of those that it asked. A take-up that is refused costs its caller the stream: entries read the list every second, an answer of any peer is enough, and streams that agents know are not affected.

Looked for elsewhere: other entries answer by the same rule.

In the tests, simulated entries now look every 250 ms instead of 500 and 1,500 (real ones every 50 ms) and read the list as they look: without that they would be out of step themselves.

--- a/src/skylarkrack/core/relay/_directory.py
+++ b/src/skylarkrack/core/relay/_directory.py
@@ -75,6 +75,7 @@
         "_rewound_ms",
         "_by_id",
         "_by_service",
+        "_confirmed_ms",
         "_evacuated_domains",
         "_evacuated_services",
         "_held_by_id",
@@ -104,6 +105,7 @@
         self._is_registry_lost = False
         self._restored_ms = float("-inf")
         self._rewound_ms = float("-inf")
+        self._confirmed_ms = float("-inf")
 
     # Queries
 
@@ -145,6 +147,10 @@
         """Return until when changes may have been missed: now, or the end of the last outage."""
         return now_ms if self._is_registry_lost else self._restored_ms
 
+    def confirmed_ms(self) -> float:
+        """Return as of when the directory held all registrations, as far as reads have shown."""
+        return self._confirmed_ms
+
     def has_key(self, key: EndpointKey) -> bool:
         """Return whether an incarnation is assumed to be alive."""
         return key in self._id_by_key
@@ -170,6 +176,10 @@
             self._evacuated_domains = domains
             self._regroup()
 
+    def confirm(self, as_of_ms: float) -> None:
+        """Record that all registrations as of a time have been applied."""
+        self._confirmed_ms = max(self._confirmed_ms, as_of_ms)
+
     def registry_lost(self) -> None:
         """Record that the registry stopped answering."""
         self._is_registry_lost = True
--- a/src/skylarkrack/core/relay/_stream_origins.py
+++ b/src/skylarkrack/core/relay/_stream_origins.py
@@ -9,7 +9,9 @@
 
 A stream that nobody knows may go on only where the service certainly had one version for as long as
 its callers may come back. A process that saw the registrations for that time knows it, and so does
-one that finds only endpoints that were born before.
+one that finds only endpoints that were born before. Both know it only of the time up to which they
+have read the registrations: a process that stood still, or is cut off, doesn't see a new version
+join while the others begin streams at it.
 """
 
 import hashlib
@@ -44,6 +46,14 @@
 """Time without a look at the registrations after which a process no longer counts as having
 followed them, since it was frozen. Entries look every 50 ms."""
 
+MAX_LIST_AGE_MS = 2_000.0
+"""Age of the registrations above which they show nothing of the versions that serve now. A reader
+reads them again within a second."""
+
+STALL_MS = 500.0
+"""Time without a look above which what is received next may have waited for this process, and for
+how long after it nothing that was received counts as new."""
+
 
 class VersionView(IntEnum):
     """What a process knows of the versions that a service had during `ORIGIN_TTL_MS`.
@@ -91,6 +101,7 @@
         "_own_keys",
         "_record_by_key",
         "_seen_ms_by_version_by_service",
+        "_stalled_until_ms",
         "_unsent_keys",
     )
 
@@ -104,6 +115,7 @@
         self._followed_since_ms_by_service: dict[str, float] = {}
         self._looked_ms = float("-inf")
         self._missed_until_ms = float("-inf")
+        self._stalled_until_ms = float("-inf")
 
     # Queries
 
@@ -131,18 +143,30 @@
         return len(self._seen_ms_by_version_by_service.get(service, ())) > 1
 
     def view_of(
-        self, service: str, endpoints: Iterable[Endpoint], now_ms: float, calendar_ms: float
+        self,
+        service: str,
+        endpoints: Iterable[Endpoint],
+        now_ms: float,
+        *,
+        confirmed_ms: float,
+        calendar_ms: float,
     ) -> VersionView:
         """Return what is known of the versions that a service had during the last `ORIGIN_TTL_MS`.
 
-        *endpoints* are all registered ones, and *calendar_ms* is this VM's calendar time. A birth
-        in the future, by a clock that differs, proves nothing.
+        *endpoints* are all registered ones as of *confirmed_ms*, and *calendar_ms* is this VM's
+        calendar time. A birth in the future, by a clock that differs, proves nothing.
         """
         if self.is_mixed(service):
             return VersionView.SEVERAL
+        endpoints = list(endpoints)
+        is_current = (
+            now_ms - confirmed_ms < MAX_LIST_AGE_MS
+            and now_ms - self._looked_ms < STALL_MS
+            and now_ms >= self._stalled_until_ms
+        )
         followed_ms = self._followed_since_ms_by_service.get(service, float("inf"))
         since_ms = max(followed_ms, self._missed_until_ms)
-        if now_ms - self._looked_ms < MAX_UNSEEN_MS and now_ms - since_ms >= ORIGIN_TTL_MS:
+        if is_current and now_ms - since_ms >= ORIGIN_TTL_MS:
             return VersionView.ONE
         known = [endpoint for endpoint in endpoints if endpoint.service == service]
         versions = {endpoint.software_version for endpoint in known}
@@ -150,7 +174,8 @@
             return VersionView.SEVERAL
         # Registrations that state no version ask for no distinction.
         is_old = all(calendar_ms - endpoint.started_ms > ORIGIN_TTL_MS for endpoint in known)
-        return VersionView.ONE if known and (is_old or versions == {""}) else VersionView.UNKNOWN
+        is_one = bool(known) and (is_current and is_old or versions == {""})
+        return VersionView.ONE if is_one else VersionView.UNKNOWN
 
     def own(self) -> list[bytes]:
         """Return the keys of the streams that this entry forwarded, the newest first."""
@@ -166,6 +191,8 @@
         """Record the versions of all registered endpoints."""
         if now_ms - self._looked_ms >= MAX_UNSEEN_MS:
             self._followed_since_ms_by_service.clear()
+        if STALL_MS <= now_ms - self._looked_ms < float("inf"):
+            self._stalled_until_ms = now_ms + STALL_MS
         self._looked_ms = now_ms
         for service in versions_by_service:
             self._followed_since_ms_by_service.setdefault(service, now_ms)
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -184,6 +184,7 @@
         return await self._watch(revision)
 
     async def _list(self) -> int:
+        asked_ms = monotonic_ms()
         listing = await self._store.read_all(self._prefix)
         self._mark_reachable()
         if self._era is not None and listing.era != self._era:
@@ -191,15 +192,19 @@
             self._change_handler.handle_rewind()
         self._era = listing.era
         self._change_handler.handle_listing(listing)
+        self._change_handler.handle_confirmed(asked_ms)
         return listing.revision
 
     async def _watch(self, revision: int) -> int:
+        # The answer may have waited here: only that it is younger than the question is certain.
+        asked_ms = monotonic_ms()
         changes = await self._store.watch(self._prefix, revision, wait_ms=WATCH_WAIT_MS)
         self._mark_reachable()
         if changes.era != self._era:
             # The revision of the last read means something else in this era.
             raise HistoryLost
         step = self._change_handler.handle_changes(changes, base=revision)
+        self._change_handler.handle_confirmed(asked_ms)
         self._exchange.publish(replace(step, restored_ago_ms=self._restored_ago_ms()))
         return step.revision
 
@@ -217,6 +222,8 @@
         self._mark_reachable()
         if step.revision > revision:
             self._change_handler.handle_step(step)
+            # A step without anything new may have been read long ago.
+            self._change_handler.handle_confirmed(monotonic_ms())
         return max(revision, step.revision)
 
     def _log_failure(self, reason: str, revision: int | None) -> None:
@@ -281,6 +288,9 @@
         """Log that the store answers again."""
         log(Event.PLATFORM_BACK)
 
+    def handle_confirmed(self, as_of_ms: float) -> None:
+        """Do nothing: a document stays in force until a newer one is read."""
+
     def handle_rewind(self) -> None:
         """Do nothing: a document of an older version never replaces a newer one."""
 
@@ -365,6 +375,10 @@
         """Notify the listener that the store answers again."""
         self._listener.registry_restored()
 
+    def handle_confirmed(self, as_of_ms: float) -> None:
+        """Notify the listener that all registrations as of a time were read."""
+        self._listener.registrations_confirmed(as_of_ms)
+
     def handle_rewind(self) -> None:
         """Notify the listener that the registrations are those of an older copy."""
         self._listener.registry_rewound()
--- a/src/skylarkrack/relay/_registry.py
+++ b/src/skylarkrack/relay/_registry.py
@@ -44,6 +44,9 @@
     def endpoints_listed(self, endpoints: list[Endpoint], unreadable: set[str]) -> None:
         """Replace all registrations; *unreadable* holds the ids of those that can't be decoded."""
 
+    def registrations_confirmed(self, as_of_ms: float) -> None:
+        """Record that all registrations as of a time of the monotonic clock are known."""
+
     def registry_lost(self, reason: str) -> None:
         """Record that the registry stopped responding."""
 
--- a/src/skylarkrack/relay/_registry_view.py
+++ b/src/skylarkrack/relay/_registry_view.py
@@ -145,6 +145,10 @@
             log(Event.ENDPOINT_GONE, endpoint=endpoint_id, at_once=True)
         self._drop_removed()
 
+    def registrations_confirmed(self, as_of_ms: float) -> None:
+        """Record that all registrations as of a time are known."""
+        self._context.dispatcher.directory.confirm(as_of_ms)
+
     def registry_lost(self, reason: str) -> None:
         """Keep the known endpoints while the registry does not respond."""
         log(Event.REGISTRY_LOST, reason=reason)
--- a/src/skylarkrack/relay/_stream_origin_exchange.py
+++ b/src/skylarkrack/relay/_stream_origin_exchange.py
@@ -179,7 +179,11 @@
     def view_of(self, service: str) -> VersionView:
         """Return what this entry knows of the versions that a service had."""
         return self._lookup.origins.view_of(
-            service, self._directory.all(), monotonic_ms(), calendar_ms=local_calendar_s() * 1000
+            service,
+            self._directory.all(),
+            monotonic_ms(),
+            confirmed_ms=self._directory.confirmed_ms(),
+            calendar_ms=local_calendar_s() * 1000,
         )
 
     def versions_of(self, service: str) -> set[str]:
--- a/src/skylarkrack/relay/_stream_origin_lookup.py
+++ b/src/skylarkrack/relay/_stream_origin_lookup.py
@@ -103,6 +103,11 @@
             self.origin, self.source = origin, address
         self._changed.set()
 
+    @property
+    def is_unheard(self) -> bool:
+        """Whether others were asked and none has answered."""
+        return self.asked > 0 and self.asked == len(self.agents) + len(self.entries)
+
     def is_open(self) -> bool:
         """Return whether an answer could still change the result."""
         return self.origin is None and bool(self.agents or self.entries)
@@ -217,6 +222,9 @@
         question = await self._ask(key, service)
         took_ms = monotonic_ms() - asked_ms
         views = {*question.views, self.peers.view_of(service)}
+        if question.is_unheard:
+            # A process that nobody answers may be cut off, and see no version join.
+            views.discard(VersionView.ONE)
         if question.begun_versions - self.peers.versions_of(service):
             # A version that began streams a moment ago has left.
             views.add(VersionView.SEVERAL)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Iterator
 
+from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import Endpoint, EngineStateReceived
 from skylarkrack.platform._headers import PlatformCodec
 from skylarkrack.relay import RelayEntry, RelaySettings
@@ -145,6 +146,7 @@
             if any(worker is listed for listed in workers or self.workers)
         ]
         self.entry.registry.endpoints_listed(endpoints, set())
+        self.entry.registry.registrations_confirmed(monotonic_ms())
 
     def list_address(self, address: str) -> None:
         """Register an endpoint at *address* instead of the workers."""
--- a/tests/stream_origin_network.py
+++ b/tests/stream_origin_network.py
@@ -175,6 +175,11 @@
         )
         network.handler_by_address[vm] = self._receive
 
+    def look(self, now_ms: float) -> None:
+        """Record that the registrations were read, and do what is due every 50 ms."""
+        self.directory.confirm(now_ms)
+        self.exchange.send_due(now_ms)
+
     def begin(self, key: bytes, version: str, now_ms: float) -> None:
         """Begin a stream at an endpoint of *version*."""
         origin = StreamOrigin(service="llm", software_version=version)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import PlatformUnreachable
 from skylarkrack.core.relay import FeedKind, FeedStep
 from skylarkrack.platform import _store, _watch
@@ -24,6 +25,7 @@
 
     def __init__(self) -> None:
         self.notifications: list[tuple] = []
+        self.confirmed_ms = float("-inf")
         self._changed = asyncio.Event()
 
     def _append(self, *notification: object) -> None:
@@ -53,6 +55,9 @@
     def endpoints_listed(self, endpoints: list, unreadable: set) -> None:
         self._append("listed", sorted(e.endpoint_id for e in endpoints), sorted(unreadable))
 
+    def registrations_confirmed(self, as_of_ms: float) -> None:
+        self.confirmed_ms = max(self.confirmed_ms, as_of_ms)
+
     def registry_lost(self, reason: str) -> None:
         self._append("lost")
 
@@ -249,6 +254,22 @@
         self.platform.remove("servers/i-1")
         await self.listener.wait_until_recorded("removed", "i-1")
 
+    async def test_an_answer_counts_as_old_as_its_question(self) -> None:
+        # An answer may have waited in the socket of a process that stood still.
+        with mock.patch.object(_watch, "MIN_WATCH_PAUSE_MS", 50):
+            before_ms = monotonic_ms()
+            self.watcher.start()
+            await self.listener.wait_until_recorded("listed", ["i-1"], ["i-2"])
+            self.assertGreaterEqual(self.listener.confirmed_ms, before_ms)
+            while not self.platform.watched.count("servers/"):  # noqa: ASYNC110 - the store's list
+                await asyncio.sleep(0.005)
+            asked_ms = monotonic_ms()
+            await asyncio.sleep(0.2)
+            self.platform.remove("servers/i-1")
+            await self.listener.wait_until_recorded("removed", "i-1")
+            await asyncio.sleep(0)
+            self.assertLessEqual(self.listener.confirmed_ms, asked_ms)
+
     async def test_an_error_of_the_listener_does_not_end_the_reading(self) -> None:
         failed = mock.Mock(side_effect=[ZeroDivisionError, None])
         with (
@@ -425,6 +446,21 @@
             self.step(revision + number - 1, revision + number)
         self.assertEqual(self.watches(), before)
 
+    async def test_a_step_without_anything_new_confirms_nothing(self) -> None:
+        # A reader that stood still passes on what it has read before.
+        self.addCleanup(_watch.SILENT_AFTER_MS.update, dict(_watch.SILENT_AFTER_MS))
+        _watch.SILENT_AFTER_MS[FeedKind.REGISTRATIONS] = 60_000.0
+        revision = await self.start()
+        self.step(revision, revision + 1)
+        await asyncio.sleep(0.1)
+        confirmed_ms = self.listener.confirmed_ms
+        self.step(revision, revision + 1)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.listener.confirmed_ms, confirmed_ms)
+        self.step(revision + 1, revision + 2)
+        await asyncio.sleep(0.1)
+        self.assertGreater(self.listener.confirmed_ms, confirmed_ms)
+
     async def test_a_missing_step_causes_a_read(self) -> None:
         revision = await self.start()
         self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
--- a/tests/test_relay_stream_origin_network.py
+++ b/tests/test_relay_stream_origin_network.py
@@ -26,6 +26,9 @@
 PACE_S = 0.004
 """Time between two take-ups, so that one event loop carries the whole fleet."""
 
+LOOK_MS = 250
+"""Time between two looks of a simulated entry at the registrations."""
+
 MIN_SHARE = 0.5
 """Share of the take-ups that have to go on, where all new streams begin (the stated target)."""
 
@@ -215,6 +218,8 @@
                     SimulatedEntry(network, f"n{number}", versions=("v1.1",))
                     for number in range(entries)
                 ]
+                for entry in fleet:
+                    entry.look(monotonic_ms())
                 results = Counter()
                 for _ in range(STREAMS):
                     # A stream that no agent knows is one whose keepers were killed.
@@ -240,6 +245,7 @@
         await asyncio.sleep(0.03)
         network.kill("n0")
         after = SimulatedEntry(network, "n1", versions=("v1",))
+        after.look(monotonic_ms())
         for entry in (before, after):
             self.addCleanup(entry.tasks.close)
         self.assertIsNone(await after.lookup.find(rng.randbytes(STREAM_KEY_BYTES), "llm"))
@@ -262,8 +268,8 @@
         for number, entry in enumerate(fleet):
             self.addCleanup(entry.tasks.close)
             first_ago_ms = int(ORIGIN_TTL_MS) if number < followers else 0
-            for ago_ms in range(first_ago_ms, -1, -1500):
-                entry.exchange.send_due(monotonic_ms() - ago_ms)
+            for ago_ms in range(first_ago_ms, -1, -LOOK_MS):
+                entry.look(monotonic_ms() - ago_ms)
         tasks = []
         for _ in range(STREAMS):
             key = rng.randbytes(STREAM_KEY_BYTES)
@@ -300,13 +306,13 @@
 
     def follow(self) -> None:
         """Let the entry have followed the registrations until now for as long as callers wait."""
-        for ago_ms in range(int(ORIGIN_TTL_MS), -1, -500):
-            self.entry.exchange.send_due(self.now_ms - ago_ms)
+        for ago_ms in range(int(ORIGIN_TTL_MS), -1, -LOOK_MS):
+            self.entry.look(self.now_ms - ago_ms)
 
     @in_virtual_time
     async def test_an_entry_that_has_just_started_refuses(self) -> None:
         """Guards against an entry that takes the one version that it sees for the only one."""
-        self.entry.exchange.send_due(self.now_ms)
+        self.entry.look(self.now_ms)
         with self.assertRaises(RequestRefused):
             await self.entry.lookup.find(b"key", "llm")
 
@@ -359,3 +365,65 @@
             entry.begin(b"key", version, monotonic_ms())
         await asyncio.sleep(0)
         self.assertEqual(network.sent, 1)
+
+
+class TestOutOfStep(unittest.TestCase):
+    """An entry doesn't see that endpoints of v1.1 join; streams begin there through another entry.
+
+    It has followed the registrations for as long as callers wait, and knows old endpoints of v1. An
+    agent answers it that doesn't know the stream, as the stream's keepers are new as well.
+    """
+
+    def setUp(self) -> None:
+        self.network = Network(random.Random(1))
+        SimulatedAgent(self.network, "s1", clock=monotonic_ms)
+        self.entry = SimulatedEntry(self.network, "n1", versions=("v1",))
+        self.other = SimulatedEntry(self.network, "n2", versions=("v1", "v1.1"))
+        for each in (self.entry, self.other):
+            self.addCleanup(each.tasks.close)
+        self.now_ms = monotonic_ms()
+
+    def follow(self, *, until_ago_ms: int) -> None:
+        """Let the entry have followed the registrations until so long ago."""
+        for ago_ms in range(int(ORIGIN_TTL_MS) + until_ago_ms, until_ago_ms - 1, -LOOK_MS):
+            self.entry.look(self.now_ms - ago_ms)
+
+    async def check_refused(self) -> None:
+        with self.assertRaises(RequestRefused):
+            await self.entry.lookup.find(b"key", "llm")
+
+    @in_virtual_time
+    async def test_an_entry_whose_questions_nobody_answers_refuses(self) -> None:
+        # A silent fleet was taken for one that knows of no other version.
+        self.follow(until_ago_ms=0)
+        self.network.frozen |= {"s1", "n2"}
+        await self.check_refused()
+
+    @in_virtual_time
+    async def test_an_entry_that_stood_still_refuses(self) -> None:
+        # What an entry reads first after a pause is as old as the pause is long.
+        self.network.frozen.add("n2")
+        self.follow(until_ago_ms=1800)
+        self.entry.exchange.send_due(self.now_ms)
+        await self.check_refused()
+
+    @in_virtual_time
+    async def test_an_entry_with_an_old_list_refuses(self) -> None:
+        # The age of the look at the list was taken for that of the list.
+        self.network.frozen.add("n2")
+        self.follow(until_ago_ms=3000)
+        for ago_ms in range(3000, -1, -LOOK_MS):
+            self.entry.exchange.send_due(self.now_ms - ago_ms)
+        await self.check_refused()
+
+    @in_virtual_time
+    async def test_an_entry_that_sees_new_registrations_goes_on(self) -> None:
+        self.network.frozen.add("n2")
+        self.follow(until_ago_ms=0)
+        self.assertIsNone(await self.entry.lookup.find(b"key", "llm"))
+
+    @in_virtual_time
+    async def test_another_entry_that_saw_the_version_join_is_enough(self) -> None:
+        self.follow(until_ago_ms=0)
+        self.other.look(self.now_ms)
+        await self.check_refused()
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -916,7 +916,7 @@
     Guard(
         name="relay-origin-old-endpoints",
         file="core/relay/_stream_origins.py",
-        code='(is_old or versions == {""})',
+        code='(is_current and is_old or versions == {""})',
         without='(versions == {""})',
         test="tests.test_relay_stream_restarts.TestAllEntriesKilled.test_an_unknown_stream_goes_on_where_all_endpoints_are_older",
     ),
@@ -1391,4 +1391,28 @@
         test="tests.test_relay_planned_stop.TestEndOfTheGrace"
         ".test_a_request_that_may_have_run_gets_an_answer",
     ),
+    Guard(
+        name="relay-list-age",
+        file="core/relay/_stream_origins.py",
+        code="            now_ms - confirmed_ms < MAX_LIST_AGE_MS\n            and ",
+        without="            ",
+        test="tests.test_relay_stream_origin_network.TestOutOfStep"
+        ".test_an_entry_with_an_old_list_refuses",
+    ),
+    Guard(
+        name="relay-stall-noticed",
+        file="core/relay/_stream_origins.py",
+        code="            self._stalled_until_ms = now_ms + STALL_MS",
+        without="            pass",
+        test="tests.test_relay_stream_origin_network.TestOutOfStep"
+        ".test_an_entry_that_stood_still_refuses",
+    ),
+    Guard(
+        name="relay-silence-proves-nothing",
+        file="relay/_stream_origin_lookup.py",
+        code="            views.discard(VersionView.ONE)",
+        without="            pass",
+        test="tests.test_relay_stream_origin_network.TestOutOfStep"
+        ".test_an_entry_whose_questions_nobody_answers_refuses",
+    ),
 )
