--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -67,6 +67,10 @@
         return None
 
 
+def _ignore_end() -> None:
+    """Stand in for the handler of a connection's end."""
+
+
 class _CallerReader(asyncio.StreamReader):
     """The bytes of a caller's connection.
 
@@ -77,7 +81,7 @@
     def __init__(self, limit: int) -> None:
         super().__init__(limit, loop=asyncio.get_running_loop())
         self.has_ended = False
-        self.on_end: Callable[[], None] = lambda: None
+        self.on_end: Callable[[], None] = _ignore_end
 
     def feed_eof(self) -> None:
         """Record a close."""
@@ -289,6 +293,7 @@
             pass
         finally:
             self._connections.discard(connection)
+            reader.on_end = _ignore_end
             writer.close()
 
 
@@ -353,7 +358,8 @@
         )
         self._responder = responder
         await self._handle(request, responder)
-        self._responder = None
+        # Without this, responder and handler would refer to each other until a garbage collection.
+        self._responder = responder.on_caller_left = None
         self._is_idle = True
         if not responder.has_ended or self._server.is_closing or self._has_dropped_bytes:
             return False
