Count the adapter of a granted request as in use before its run begins

An agent that grants a request and then retires the request's adapter sends both within a millisecond. An entry reads them in one callback. The grant ends the request's wait, but its run counts as load only in the next round of the event loop, so that the acknowledgement of the retirement said that nothing needs the adapter.

Now a demand also names the adapters of requests that a decision has released and whose runs have not begun. The same gap exists after each decision that ends a wait; all of them pass through the queue.

Test: fails before with no adapter in use.

--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from dataclasses import replace
 
 from skylarkrack._clock import monotonic_ms
@@ -487,7 +488,9 @@
         wanted = {}
         if not self._context.dispatcher.directory.is_evacuated(endpoint):
             wanted = self._context.dispatcher.wanted_at(endpoint.key)
-        in_use = self._context.dispatcher.load.own_runs_by_adapter(endpoint.key, now_ms)
+        # An engine's agent evicts what no demand names, so requests on their way count as well.
+        in_use = Counter(self._context.dispatcher.load.own_runs_by_adapter(endpoint.key, now_ms))
+        in_use += self._context.placement_queue.released_by_adapter(endpoint.key)
         self._sent_in_use_by_key[endpoint.key] = frozenset(in_use)
         demand = AdapterDemand(
             vm=self._settings.vm,
--- a/src/skylarkrack/relay/_placement_queue.py
+++ b/src/skylarkrack/relay/_placement_queue.py
@@ -1,11 +1,20 @@
 """Queue of the requests that wait until the dispatcher has an endpoint for them."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import RequestRefused
-from skylarkrack.core.relay import Dispatcher, EndpointKey, PendingRequest, Refuse, SendTo, WaitFor
+from skylarkrack.core.relay import (
+    AdapterId,
+    Dispatcher,
+    EndpointKey,
+    PendingRequest,
+    Refuse,
+    SendTo,
+    WaitFor,
+)
 
 TICK_MS = 25.0
 """Longest time between two decisions about the waiting requests."""
@@ -103,6 +112,19 @@
                 return True
         return False
 
+    def released_by_adapter(self, key: EndpointKey) -> Counter[AdapterId]:
+        """Return how many requests a decision has just sent to an engine, by adapter.
+
+        Their runs begin in the next round of the event loop, and count as load only then.
+        """
+        released: Counter[AdapterId] = Counter()
+        for pending, future in self._decision_by_request.items():
+            if future.done() and not future.cancelled() and pending.need is not None:
+                decision = future.result()
+                if isinstance(decision, SendTo) and decision.endpoint.key == key:
+                    released[pending.need.adapter_id] += 1
+        return released
+
     def refuse(self, pending: PendingRequest, decision: Refuse) -> None:
         """Refuse a request; does nothing if it doesn't wait."""
         future = self._decision_by_request.get(pending)
--- a/tests/test_relay_admission_path.py
+++ b/tests/test_relay_admission_path.py
@@ -12,16 +12,17 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import EngineReport, PromptAdmission
 from skylarkrack.core.relay._admission_view import ANSWER_TIMEOUT_MS
-from skylarkrack.messages import AdmissionRequests
+from skylarkrack.messages import AdapterDemand, AdmissionRequests
 from skylarkrack.relay import EngineAgent
 from skylarkrack.relay._admission_agent import AdmissionAgent
 from skylarkrack.relay._admission_exchange import AdmissionExchange
+from skylarkrack.relay._peers import Peers
 from skylarkrack.relay._placement_queue import TICK_MS, PlacementQueue
 from skylarkrack.wire import encode_body
 from standins.platform_worker import PlatformWorker, stream
 from tests.held_clock import STEP_MS, HeldClock
 from tests.platform_builders import EntryHarness, as_bytes, config, model_request
-from tests.relay_builders import endpoint
+from tests.relay_builders import MODEL, endpoint
 from tests.test_relay_fleet import FakeEngine, settings, until
 
 MAX_UNGRANTED_MS = 100.0
@@ -193,6 +194,24 @@
             await sent
             self.assertEqual(len(fleet.worker.received), 1)
 
+    async def test_the_adapter_of_a_granted_request_is_in_use_before_its_run_begins(self) -> None:
+        # A grant and the retirement of its adapter may be read in one callback, which acknowledged
+        # the retirement as if no request needed the adapter.
+        async with AdmissionFleet(ReportingEngine()) as fleet:
+            await until(fleet.supports)
+            with mock.patch.object(PromptAdmission, "decide", return_value=[]), HeldClock():
+                sent = asyncio.create_task(fleet.send())
+                self.addCleanup(sent.cancel)
+                await until(lambda: fleet.waiting == 1)
+                ((pending, _),) = fleet.queue._decision_by_request.items()
+                with calls_of(Peers, "send") as sends:
+                    fleet.queue.receive_grant(fleet.key, pending.number, 1, monotonic_ms())
+                    fleet.harness.entry._gossip.send_demand_now(fleet.key)
+                demand = sends.call_args.args[1]
+                self.assertIsInstance(demand, AdapterDemand)
+                self.assertEqual(demand.in_use, [[MODEL, "a1", 1]])
+            await sent
+
     async def test_without_a_longest_pause_no_message_is_sent(self) -> None:
         async with AdmissionFleet(ReportingEngine(), has_gap=False) as fleet:
             with calls_of(AdmissionExchange, "send_offers") as offers:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1415,4 +1415,12 @@
         test="tests.test_relay_stream_origin_network.TestOutOfStep"
         ".test_an_entry_whose_questions_nobody_answers_refuses",
     ),
+    Guard(
+        name="relay-released-in-use",
+        file="relay/_gossip.py",
+        code="        in_use += self._context.placement_queue.released_by_adapter(endpoint.key)\n",
+        without="",
+        test="tests.test_relay_admission_path.TestAdmissionOverSockets"
+        ".test_the_adapter_of_a_granted_request_is_in_use_before_its_run_begins",
+    ),
 )
