--- a/tests/test_steady_time.py
+++ b/tests/test_steady_time.py
@@ -3,10 +3,13 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
+from skylarkrack import _clock
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.web import HttpClient
 from standins.platform_worker import PlatformWorker, answer
+from tests.held_clock import HeldClock
 from tests.steady_time import MAX_STEP_S
 
 STALL_S = 0.2
@@ -45,3 +48,21 @@
         ahead_s = loop.time() - time.monotonic()
         await asyncio.sleep(10 * MAX_STEP_S)
         self.assertLessEqual(loop.time() - time.monotonic(), ahead_s + MAX_STEP_S)
+
+
+class TestHeldClock(unittest.TestCase):
+    """What a held clock shows has passed is what it was advanced by."""
+
+    def test_a_time_out_is_due_when_it_has_passed(self) -> None:
+        # A rounding error kept a time-out of 40 ms from ever being due under a clock that stands.
+        for uptime_s in (4100, 4150, 4194, 8300, 600_000):
+            for part in range(200):
+                now_s = uptime_s + part / 2048.7
+                with (
+                    mock.patch.object(_clock.time, "clock_gettime", return_value=now_s),
+                    HeldClock() as clock,
+                ):
+                    before_ms = monotonic_ms()
+                    clock.advance(39.0)
+                    clock.advance(1.0)
+                    self.assertEqual(monotonic_ms() - before_ms, 40.0)
