Share the caller that leaves and the reset between the tests

Three tests repeated the steps of a caller that leaves once the endpoint has its request, and one the reset of a connection that the stand-in has. The assertions stay as they are.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -202,13 +202,13 @@
         await writer.drain()
         if resets:
             await asyncio.sleep(0.05)
-            _reset(writer)
+            reset(writer)
         return False
 
     return reply
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that the peer receives a reset instead of a clean close."""
     linger = struct.pack("ii", 1, 0)
     connection = writer.get_extra_info("socket")
--- a/tests/test_relay_broken_heads.py
+++ b/tests/test_relay_broken_heads.py
@@ -5,16 +5,13 @@
 
 import asyncio
 import random
-import socket
-import struct
 
-from standins.platform_worker import PlatformWorker, Received, Reply
+from standins.platform_worker import PlatformWorker, Received, Reply, reset
 from tests.platform_builders import EntryHarness, model_request, request
 from tests.test_relay_path import PathTest, is_whole, status_of
 
 SEAL = "X-Response-Seal: seal\r\n"
 EVENT = b"id: 1\ndata: a\n\n"
-_RESET = struct.pack("ii", 1, 0)
 
 
 def head(*fields: str, status: str = "200 OK", request_id: str = "r1") -> bytes:
@@ -31,9 +28,7 @@
         await writer.drain()
         if resets:
             await asyncio.sleep(0.002)
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-            writer.transport.abort()
+            reset(writer)
         return False
 
     return reply
--- a/tests/test_relay_caller_close.py
+++ b/tests/test_relay_caller_close.py
@@ -95,12 +95,7 @@
 
     async def test_an_endpoint_whose_caller_left_has_not_failed(self) -> None:
         worker = PlatformWorker([silence()])
-        async with EntryHarness(worker, service="llm") as harness:
-            _, writer = await harness.connect()
-            writer.write(model_request())
-            await asyncio.wait_for(worker.first_received.wait(), 2)
-            writer.close()
-            await asyncio.wait_for(worker.closed.wait(), 2)
+        async with self.left_by_caller(worker, model_request(), service="llm") as harness:
             context, key = harness.entry._context, (worker.address, 1000)
             self.assertEqual(context.dispatcher.health.failure_ratio(key, monotonic_ms()), 0)
             self.assertEqual(context.metrics.counter("callers_left_total"), 1)
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -1,8 +1,10 @@
 """Requests sent as raw bytes through an entry to endpoints that fail in different ways."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
+from collections.abc import AsyncIterator
 
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.relay._endpoint_clients import max_idle_of
@@ -50,6 +52,19 @@
         async with EntryHarness(worker, service=service) as harness:
             return await harness.send_raw(data)
 
+    @contextlib.asynccontextmanager
+    async def left_by_caller(
+        self, worker: PlatformWorker, data: bytes, *, service: str
+    ) -> AsyncIterator[EntryHarness]:
+        """Run an entry whose caller left once the endpoint had its request, which has ended."""
+        async with EntryHarness(worker, service=service) as harness:
+            _, writer = await harness.connect()
+            writer.write(data)
+            await asyncio.wait_for(worker.first_received.wait(), 2)
+            writer.close()
+            await asyncio.wait_for(worker.closed.wait(), 2)
+            yield harness
+
 
 class TestForwarding(PathTest):
     """What an entry forwards to an endpoint, and what it returns to the caller."""
@@ -363,12 +378,8 @@
 
     async def leave(self, worker: PlatformWorker, data: bytes, *, service: str) -> None:
         """Send a request and disconnect once an endpoint has received it."""
-        async with EntryHarness(worker, service=service) as harness:
-            _, writer = await harness.connect()
-            writer.write(data)
-            await asyncio.wait_for(worker.first_received.wait(), 2)
-            writer.close()
-            await asyncio.wait_for(worker.closed.wait(), 2)
+        async with self.left_by_caller(worker, data, service=service):
+            pass
 
     async def test_a_stream_is_cancelled(self) -> None:
         worker = PlatformWorker([silence()])
@@ -377,12 +388,7 @@
 
     async def test_the_adapter_of_a_cancelled_stream_stays_in_use_for_a_time(self) -> None:
         worker = PlatformWorker([silence()])
-        async with EntryHarness(worker, service="llm") as harness:
-            _, writer = await harness.connect()
-            writer.write(model_request())
-            await asyncio.wait_for(worker.first_received.wait(), 2)
-            writer.close()
-            await asyncio.wait_for(worker.closed.wait(), 2)
+        async with self.left_by_caller(worker, model_request(), service="llm") as harness:
             load, key = harness.entry._context.dispatcher.load, (worker.address, 1000)
             self.assertEqual(load.total(key, monotonic_ms()).runs, 0)
             self.assertEqual(load.own_runs_by_adapter(key, monotonic_ms()), {(MODEL, "a1"): 1})
