--- a/review/harness.py
+++ b/review/harness.py
@@ -281,6 +281,12 @@
         self._tasks.append(asyncio.create_task(self._beat(worker)))
         return worker
 
+    def cut_store_connections(self) -> None:
+        """Cut the watches that wait at the store, which answers new calls as before."""
+        self.record.write("the store cuts the watches that wait")
+        for connection in list(self.store._server._connections):
+            connection.abort()
+
     async def _beat(self, worker: Worker) -> None:
         while True:
             if worker.beats:
@@ -476,12 +482,19 @@
 
 
 def head_of(
-    method: str, path: str, request_id: str, *, deadline_ms: int, size: int = 0, extra: str = ""
+    method: str,
+    path: str,
+    request_id: str,
+    *,
+    deadline_ms: int,
+    size: int = 0,
+    extra: str = "",
+    key: str = KEY,
 ) -> bytes:
     """Return the head of a client's request."""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token {KEY}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token {key}\r\n"
         f"Content-Length: {size}\r\n{extra}\r\n"
     ).encode()
 
