Review case 3: workers are lost to most entries after a drill of the store

Workers whose registrations the restored copy lacks register again, but the entry that reads the store for its zone leaves them out of what it passes on: their fields equal those that it passed on before the drill. The other entries refuse every request for their service from then on (CONFIG).

--- a/review/harness.py
+++ b/review/harness.py
@@ -26,6 +26,7 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.2
+HEARTBEATS_OF_SILENCE = 3
 HOST = "a.example"
 KEY = "key-of-singers"
 TENANT = "singers"
@@ -192,10 +193,10 @@
     return [("X-Attempt-Id", request.request_id), ("X-Response-Seal", f"s.{request.request_id}")]
 
 
-async def answer_plain(worker: Worker, request: Received) -> None:
-    """Run a request for 20 ms and answer it."""
+async def answer_plain(worker: Worker, request: Received, work_s: float = 0.02) -> None:
+    """Run a request and answer it."""
     worker.record.write(f"run {request.request_id} at {worker.name}")
-    await asyncio.sleep(0.02)
+    await asyncio.sleep(work_s)
     respond(request, 200, seal(request), f"done {request.request_id}".encode())
 
 
@@ -270,6 +271,10 @@
     def publish(self) -> None:
         """Write the configuration to the store as the next version."""
         self.config["version"] += 3
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the configuration to the store with the version that it has."""
         self.store.put("op/config", json.dumps(self.config).encode())
 
     async def add_worker(self, number: int, service: str, **options: object) -> Worker:
@@ -281,6 +286,20 @@
         self._tasks.append(asyncio.create_task(self._beat(worker)))
         return worker
 
+    async def cut_from_store(self, worker: Worker, cut_s: float) -> None:
+        """Cut a worker off from the store; its entry goes after three heartbeats of silence."""
+        self.record.write(f"{worker.name} is cut off from the store")
+        worker.beats = False
+        silent_s = HEARTBEATS_OF_SILENCE * HEARTBEAT_S
+        await asyncio.sleep(min(cut_s, silent_s))
+        if cut_s > silent_s:
+            self.store.remove(f"servers/{worker.name}")
+            self.record.write(f"the entry of {worker.name} is removed")
+            await asyncio.sleep(cut_s - silent_s)
+        worker.beats = True
+        self.store.put(f"servers/{worker.name}", worker.registration())
+        self.record.write(f"{worker.name} is back in the store")
+
     def cut_store_connections(self) -> None:
         """Cut the watches that wait at the store, which answers new calls as before."""
         self.record.write("the store cuts the watches that wait")
@@ -506,6 +525,54 @@
     return f"X-Model: {model}\r\nX-Token-Count: {tokens}\r\nX-Prompt-Prefix: {prefix}\r\n"
 
 
+class Clients:
+    """Clients that send the same request so many times a second, each on a new connection."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        entry: Machine,
+        method: str,
+        path: str,
+        *,
+        per_s: float,
+        deadline_ms: int = 1500,
+    ) -> None:
+        self._record = deployment.record
+        self._address = deployment.front_of(entry)
+        self._line = (method, path, deadline_ms)
+        self._per_s = per_s
+        self._sent: list[asyncio.Task] = []
+        self.sent_s_by_id: dict[str, float] = {}
+        self.served = 0
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop sending and wait for the answers."""
+        self._task.cancel()
+        await asyncio.gather(*self._sent)
+
+    async def _run(self) -> None:
+        while True:
+            request_id = f"{len(self._sent) + 1:016x}"
+            self.sent_s_by_id[request_id] = self._record.now_s()
+            self._sent.append(asyncio.create_task(self._send(request_id)))
+            await asyncio.sleep(1 / self._per_s)
+
+    async def _send(self, request_id: str) -> None:
+        method, path, deadline_ms = self._line
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + 0.5):
+                reader, writer = await asyncio.open_connection(*self._address)
+                writer.write(head_of(method, path, request_id, deadline_ms=deadline_ms))
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError) as error:
+            line = repr(error).encode()
+        self.served += b" 200 " in line
+        self._record.write(f"client {request_id} {path} gets {line[:40].decode()!r}")
+
+
 def run_case(case: Callable[[], Awaitable[int]], *, limit_s: float = 115.0) -> None:
     """Run a case and exit with its result, or with `NOT_RUN` if it could not run."""
 
