--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""A tenant's limit is lifted before the tenant begins to send; then its workers are full."""
+"""All machines are killed after the last worker of an old software version has left."""
 
 import asyncio
+import re
+import signal
 import sys
-from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,117 +11,123 @@
 
 import harness  # noqa: E402
 
-SLOTS, QUEUE, WORK_S = 6, 6, 0.09
-KEY, TENANT = "key-of-puppeteers", "puppeteers"
-ENTRIES, CLIENTS = 4, 160
-SENDING_S = 6.0
-MAX_CLOSED = 3
+STREAMS = 16
+EVENTS, EVENT_S = 60, 0.2
+SIDE_BY_SIDE_S = 32.0
+STREAMS_BEFORE_S = 2.5
+MAX_JOINED = 2
 
 
-class Queue:
-    """The slots of a worker, and the few requests that it queues; further ones are refused."""
-
-    def __init__(self) -> None:
-        self.slots = asyncio.Semaphore(SLOTS)
-        self.taken = 0
-
-    async def handle(self, worker: harness.Worker, request: harness.Received) -> None:
-        """Run a request, or refuse it if the queue is full."""
-        if self.taken >= SLOTS + QUEUE:
-            worker.record.write(f"{worker.name} refuses {request.request_id}")
-            headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", request.request_id)]
-            harness.respond(request, 503, headers)
+async def answer_stream(worker: harness.Worker, request: harness.Received) -> None:
+    """Stream events that name the worker's version, behind `Last-Event-Id` if there is one."""
+    after = int(request.headers.get("last-event-id", "0"))
+    worker.record.write(f"{worker.name} {worker.version} runs {request.request_id} after {after}")
+    harness.start_stream(request)
+    for number in range(after + 1, EVENTS + 1):
+        if request.writer.is_closing():
             return
-        self.taken += 1
-        async with self.slots:
-            worker.record.write(f"{worker.name} runs {request.request_id}")
-            await asyncio.sleep(WORK_S)
-        self.taken -= 1
-        harness.respond(request, 200, harness.seal(request), b"done")
+        event = f"id: {number}\ndata: {worker.version}\n\n".encode()
+        request.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await asyncio.sleep(EVENT_S)
+    harness.end_stream(request)
 
 
 class Client:
-    """A client that sends one payment after another on a connection that it keeps."""
+    """A client of one stream, which it takes up again where its connection breaks."""
 
-    def __init__(self, number: int, deployment: harness.Deployment, address: tuple) -> None:
+    def __init__(self, number: int, deployment: harness.Deployment, addresses: list) -> None:
         self.number = number
         self.record = deployment.record
-        self.address = address
-        self.sent = 0
-        self.ends: Counter[str] = Counter()
-        self.closed_ids: list[str] = []
+        self.addresses = addresses
+        self.last_id = 0
+        self.versions: list[str] = []
+        self.first_attempt = ""
+        self.is_complete = False
 
     async def run(self) -> None:
-        """Send until cancelled; a new connection is opened after each that was closed."""
-        while True:
-            reader, writer = await asyncio.open_connection(*self.address)
-            on_connection = 0
-            while await self._send(reader, writer, on_connection):
-                on_connection += 1
-            writer.close()
-            await asyncio.sleep(0.3)
-
-    async def _send(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, before: int
-    ) -> bool:
-        """Send one request; return whether the connection stays open."""
-        self.sent += 1
-        request_id = f"{self.number:04x}{self.sent:012x}"
-        head = harness.head_of("POST", "/pay/1", request_id, deadline_ms=1500, size=4, key=KEY)
-        self.record.write(f"client {request_id} is sent, {before} before it on the connection")
+        """Read the stream to its end, in as many attempts as the client's deadline allows."""
+        for attempt in range(1, 12):
+            request_id = f"{self.number:08x}{attempt:08x}"
+            try:
+                async with asyncio.timeout(20):
+                    await self._attempt(request_id, self.addresses[attempt % len(self.addresses)])
+            except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+                self.record.write(f"client {request_id} ends after {self.last_id}: {error!r}")
+            if self.is_complete:
+                return
+            await asyncio.sleep(0.5)
+
+    async def _attempt(self, request_id: str, address: tuple[str, int]) -> None:
+        extra = harness.model_headers(request_id)
+        if self.last_id:
+            extra += f"Last-Event-Id: {self.last_id}\r\nResumes: {self.first_attempt}\r\n"
+        reader, writer = await asyncio.open_connection(*address)
         try:
-            writer.write(head + b"body")
-            answer = await reader.readuntil(b"\r\n\r\n")
-            length = answer.lower().split(b"content-length:")[1].split(b"\r\n")[0]
-            await reader.readexactly(int(length))
-        except (OSError, asyncio.IncompleteReadError) as error:
-            self.record.write(f"client {request_id} gets no answer: {error!r}")
-            self.ends["closed without an answer"] += 1
-            if before:
-                self.closed_ids.append(request_id)
-            return False
-        status = answer.split(b" ", 2)[1].decode()
-        self.record.write(f"client {request_id} gets {status}")
-        self.ends[status] += 1
-        await asyncio.sleep(1.0 - self.record.now_s() % 1.0)
-        return b"connection: close" not in answer.lower()
+            writer.write(
+                harness.head_of("POST", "/draft/1", request_id, deadline_ms=15_000, extra=extra)
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            line = head.partition(b"\r\n")[0].decode()
+            if " 200 " not in line:
+                self.record.write(f"client {request_id} gets {line}")
+                return
+            await self._read_events(reader, request_id)
+        finally:
+            writer.close()
+
+    async def _read_events(self, reader: asyncio.StreamReader, request_id: str) -> None:
+        text = b""
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            text += (await reader.readexactly(size + 2))[:-2]
+            *events, text = text.split(b"\n\n")
+            for event in events:
+                match = re.fullmatch(rb"id: (\d+)\ndata: (\w+)", event)
+                self.first_attempt = self.first_attempt or request_id
+                self.last_id, version = int(match[1]), match[2].decode()
+                if not self.versions or self.versions[-1] != version:
+                    self.versions.append(version)
+                    self.record.write(f"client {request_id} reads {self.last_id} of {version}")
+        self.is_complete = True
 
 
 async def run() -> int:
     """Run the case and return its result."""
     async with harness.Deployment(FOLDER) as deployment:
-        limited = {"unit": "tokens", "plain-tokens": 200, "rate-per-s": 200_000, "burst": 200_000}
-        tenant = {"name": TENANT, "api-keys": [KEY], "priority": 1, **limited}
-        deployment.config["tenants"].append(tenant)
+        record = deployment.record
         deployment.publish()
-        entries = [deployment.add_machine(number, "entry") for number in range(1, ENTRIES + 1)]
-        workers = [await deployment.add_worker(number, "desk") for number in (1, 2)]
-        for worker in workers:
-            worker.handle = Queue().handle
+        entries = [deployment.add_machine(number, "entry") for number in (1, 2)]
+        models = [{"name": harness.MODEL, "version": 1, "adapters": []}]
+        workers = []
+        for number, version in ((3, "v1"), (4, "v2")):
+            worker = await deployment.add_worker(
+                number, "llm", slots=64, models=models, version=version
+            )
+            worker.handle = answer_stream
+            workers.append(worker)
+            deployment.add_machine(20 + number, "agent", app=worker.address)
         await deployment.wait_ready(*entries)
-        await asyncio.sleep(2.0)
-        if harness.has_trouble():
-            tenant |= {"rate-per-s": 0, "burst": 0}
-            deployment.publish()
-            deployment.record.write(f"a configuration lifts the limit of {TENANT}")
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(SIDE_BY_SIDE_S)
         addresses = [deployment.front_of(entry) for entry in entries]
-        clients = [
-            Client(number, deployment, addresses[number % ENTRIES])
-            for number in range(1, CLIENTS + 1)
-        ]
-        tasks = [asyncio.create_task(client.run()) for client in clients]
-        await asyncio.sleep(SENDING_S)
-        for task in tasks:
-            task.cancel()
-        ends = sum((client.ends for client in clients), Counter())
-        arrived = {request.request_id for worker in workers for _, request in worker.arrived}
-        closed = [i for client in clients for i in client.closed_ids if i in arrived]
-        print(dict(ends), f"{len(closed)} of them from kept connections and passed on")
-        (FOLDER / "entry.log").write_text("".join(map(deployment.log_of, entries)))
-        if not ends["200"]:
+        clients = [Client(number, deployment, addresses) for number in range(1, STREAMS + 1)]
+        reading = [asyncio.create_task(client.run()) for client in clients]
+        await asyncio.sleep(STREAMS_BEFORE_S)
+        old = workers[0]
+        old.beats = False
+        deployment.store.remove(f"servers/{old.name}")
+        record.write(f"the entry of {old.name}, the last of v1, is removed; it serves on")
+        await asyncio.sleep(0.5)
+        if harness.has_trouble():
+            for machine in deployment.machines:
+                deployment.signal(machine, signal.SIGKILL)
+            record.write("all machines are killed")
+        await asyncio.gather(*reading)
+        begun_old = [client for client in clients if client.versions[:1] == ["v1"]]
+        joined = [client for client in clients if len(client.versions) > 1]
+        print(f"{len(begun_old)} of {len(clients)} streams began at v1; {len(joined)} are joined")
+        (FOLDER / "entry.log").write_text("".join(map(deployment.log_of, deployment.machines)))
+        if len(begun_old) <= MAX_JOINED:
             return harness.NOT_RUN
-        return harness.BROKEN if len(closed) > MAX_CLOSED else harness.HELD
+        return harness.BROKEN if len(joined) > MAX_JOINED else harness.HELD
 
 
 harness.run_case(run)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""The store comes back from a copy that lacks the workers of a service that is some seconds old."""
+"""A tenant's limit is lifted before the tenant begins to send; then its workers are full."""
 
 import asyncio
-import dataclasses
 import sys
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,90 +10,117 @@
 
 import harness  # noqa: E402
 
-ENTRIES, DESK_WORKERS = 5, 4
-COPY_AGE_S = 5.0
-AWAY_S = 0.5
-WRITTEN_AGAIN_S = 1.8
-SETTLING_S = 6.0
-MEASURED_S = 8.0
-MIN_REQUESTS = 20
+SLOTS, QUEUE, WORK_S = 6, 6, 0.09
+KEY, TENANT = "key-of-puppeteers", "puppeteers"
+ENTRIES, CLIENTS = 4, 160
+SENDING_S = 6.0
+MAX_CLOSED = 3
+
+
+class Queue:
+    """The slots of a worker, and the few requests that it queues; further ones are refused."""
+
+    def __init__(self) -> None:
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.taken = 0
+
+    async def handle(self, worker: harness.Worker, request: harness.Received) -> None:
+        """Run a request, or refuse it if the queue is full."""
+        if self.taken >= SLOTS + QUEUE:
+            worker.record.write(f"{worker.name} refuses {request.request_id}")
+            headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", request.request_id)]
+            harness.respond(request, 503, headers)
+            return
+        self.taken += 1
+        async with self.slots:
+            worker.record.write(f"{worker.name} runs {request.request_id}")
+            await asyncio.sleep(WORK_S)
+        self.taken -= 1
+        harness.respond(request, 200, harness.seal(request), b"done")
+
+
+class Client:
+    """A client that sends one payment after another on a connection that it keeps."""
+
+    def __init__(self, number: int, deployment: harness.Deployment, address: tuple) -> None:
+        self.number = number
+        self.record = deployment.record
+        self.address = address
+        self.sent = 0
+        self.ends: Counter[str] = Counter()
+        self.closed_ids: list[str] = []
+
+    async def run(self) -> None:
+        """Send until cancelled; a new connection is opened after each that was closed."""
+        while True:
+            reader, writer = await asyncio.open_connection(*self.address)
+            on_connection = 0
+            while await self._send(reader, writer, on_connection):
+                on_connection += 1
+            writer.close()
+            await asyncio.sleep(0.3)
+
+    async def _send(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, before: int
+    ) -> bool:
+        """Send one request; return whether the connection stays open."""
+        self.sent += 1
+        request_id = f"{self.number:04x}{self.sent:012x}"
+        head = harness.head_of("POST", "/pay/1", request_id, deadline_ms=1500, size=4, key=KEY)
+        self.record.write(f"client {request_id} is sent, {before} before it on the connection")
+        try:
+            writer.write(head + b"body")
+            answer = await reader.readuntil(b"\r\n\r\n")
+            length = answer.lower().split(b"content-length:")[1].split(b"\r\n")[0]
+            await reader.readexactly(int(length))
+        except (OSError, asyncio.IncompleteReadError) as error:
+            self.record.write(f"client {request_id} gets no answer: {error!r}")
+            self.ends["closed without an answer"] += 1
+            if before:
+                self.closed_ids.append(request_id)
+            return False
+        status = answer.split(b" ", 2)[1].decode()
+        self.record.write(f"client {request_id} gets {status}")
+        self.ends[status] += 1
+        await asyncio.sleep(1.0 - self.record.now_s() % 1.0)
+        return b"connection: close" not in answer.lower()
 
 
 async def run() -> int:
     """Run the case and return its result."""
     async with harness.Deployment(FOLDER) as deployment:
-        record, store = deployment.record, deployment.store
+        limited = {"unit": "tokens", "plain-tokens": 200, "rate-per-s": 200_000, "burst": 200_000}
+        tenant = {"name": TENANT, "api-keys": [KEY], "priority": 1, **limited}
+        deployment.config["tenants"].append(tenant)
         deployment.publish()
         entries = [deployment.add_machine(number, "entry") for number in range(1, ENTRIES + 1)]
-        for number in range(1, DESK_WORKERS + 1):
-            await deployment.add_worker(number, "desk")
-            await asyncio.sleep(harness.HEARTBEAT_S / DESK_WORKERS)
+        workers = [await deployment.add_worker(number, "desk") for number in (1, 2)]
+        for worker in workers:
+            worker.handle = Queue().handle
         await deployment.wait_ready(*entries)
-        await asyncio.sleep(4.0)
-
-        copied_revision = store.revision
-        record.write(f"the store is copied at revision {copied_revision}")
-        look = next(route for route in deployment.config["routes"] if route["name"] == "look")
-        forms = {**look, "name": "forms", "prefix": "/forms/", "service": "forms"}
-        deployment.config["routes"].append(forms)
-        deployment.config["services"].append({"name": "forms", "max-conns": 100})
-        deployment.publish()
-        for number in (11, 12):
-            await deployment.add_worker(number, "forms")
-        record.write("a configuration adds a route, and its service has workers")
-        await asyncio.sleep(COPY_AGE_S)
+        await asyncio.sleep(2.0)
         if harness.has_trouble():
-            await restore(deployment, copied_revision)
-        await asyncio.sleep(SETTLING_S)
-
+            tenant |= {"rate-per-s": 0, "burst": 0}
+            deployment.publish()
+            deployment.record.write(f"a configuration lifts the limit of {TENANT}")
+        await asyncio.sleep(4.0)
+        addresses = [deployment.front_of(entry) for entry in entries]
         clients = [
-            harness.Clients(deployment, entry, "GET", path, per_s=8)
-            for entry in entries
-            for path in ("/look/1", "/forms/1")
+            Client(number, deployment, addresses[number % ENTRIES])
+            for number in range(1, CLIENTS + 1)
         ]
-        await asyncio.sleep(MEASURED_S)
-        for each in clients:
-            await each.stop()
-        first, added = sum_of(clients[0::2]), sum_of(clients[1::2])
-        print(f"served: {first[0]} of {first[1]} on the first route, ", end="")
-        print(f"{added[0]} of {added[1]} on the added one")
+        tasks = [asyncio.create_task(client.run()) for client in clients]
+        await asyncio.sleep(SENDING_S)
+        for task in tasks:
+            task.cancel()
+        ends = sum((client.ends for client in clients), Counter())
+        arrived = {request.request_id for worker in workers for _, request in worker.arrived}
+        closed = [i for client in clients for i in client.closed_ids if i in arrived]
+        print(dict(ends), f"{len(closed)} of them from kept connections and passed on")
         (FOLDER / "entry.log").write_text("".join(map(deployment.log_of, entries)))
-        if first[0] < 0.9 * first[1] or added[1] < MIN_REQUESTS:
+        if not ends["200"]:
             return harness.NOT_RUN
-        is_broken = added[0] / added[1] < first[0] / first[1] / 4
-        return harness.BROKEN if is_broken else harness.HELD
-
-
-def sum_of(clients: list) -> tuple[int, int]:
-    """Return how many requests of some clients were served, and how many were sent."""
-    return sum(each.served for each in clients), sum(len(each.sent_s_by_id) for each in clients)
-
-
-async def restore(deployment: harness.Deployment, revision: int) -> None:
-    """Take the store away for a moment; it comes back from a copy.
-
-    The operator and the workers write again what they had written: those whose entries the copy
-    has with their next heartbeats, the others after `WRITTEN_AGAIN_S`.
-    """
-    store, record = deployment.store, deployment.record
-    store.faults = dataclasses.replace(store.faults, silent=True)
-    missing = [worker for worker in deployment.workers if worker.service == "forms"]
-    for worker in missing:
-        worker.beats = False
-    record.write("the store is away")
-    await asyncio.sleep(AWAY_S)
-    store.rewind(revision)
-    store.faults = dataclasses.replace(store.faults, silent=False)
-    deployment.cut_store_connections()
-    record.write(f"the store is back at revision {revision}, era {store.era}")
-    await asyncio.sleep(0.2)
-    deployment.publish_again()
-    record.write("the operator writes the configuration again")
-    await asyncio.sleep(WRITTEN_AGAIN_S - 0.2)
-    for worker in missing:
-        store.put(f"servers/{worker.name}", worker.registration())
-        worker.beats = True
-        record.write(f"{worker.name} writes its entry again")
+        return harness.BROKEN if len(closed) > MAX_CLOSED else harness.HELD
 
 
 harness.run_case(run)
--- a/review/harness.py
+++ b/review/harness.py
@@ -26,7 +26,6 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.2
-HEARTBEATS_OF_SILENCE = 3
 CUT_AFTER_S = 0.05
 HOST = "a.example"
 KEY = "key-of-singers"
@@ -87,12 +86,14 @@
         *,
         slots: int = 6,
         models: list | None = None,
+        version: str = "v1",
     ) -> None:
         self.name = name
         self.service = service
         self.address = address
         self.slots = slots
         self.models = models
+        self.version = version
         self.state = "ready"
         self.born_ms = int(time.time() * 1000)
         self.seq = 0
@@ -115,7 +116,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold-left-ms": 0,
@@ -305,20 +306,6 @@
         self._tasks.append(asyncio.create_task(self._beat(worker)))
         return worker
 
-    async def cut_from_store(self, worker: Worker, cut_s: float) -> None:
-        """Cut a worker off from the store; its entry goes after three heartbeats of silence."""
-        self.record.write(f"{worker.name} is cut off from the store")
-        worker.beats = False
-        silent_s = HEARTBEATS_OF_SILENCE * HEARTBEAT_S
-        await asyncio.sleep(min(cut_s, silent_s))
-        if cut_s > silent_s:
-            self.store.remove(f"servers/{worker.name}")
-            self.record.write(f"the entry of {worker.name} is removed")
-            await asyncio.sleep(cut_s - silent_s)
-        worker.beats = True
-        self.store.put(f"servers/{worker.name}", worker.registration())
-        self.record.write(f"{worker.name} is back in the store")
-
     def cut_store_connections(self) -> None:
         """Cut the watches that wait at the store, which answers new calls as before."""
         self.record.write("the store cuts the watches that wait")
