--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 import harness  # noqa: E402
 
-STREAMS = 16
+ENTRIES, WORKERS, STREAMS = 5, 9, 75
 EVENTS, EVENT_S = 60, 0.2
 SIDE_BY_SIDE_S = 32.0
 STREAMS_BEFORE_S = 2.5
@@ -95,12 +95,12 @@
     async with harness.Deployment(FOLDER) as deployment:
         record = deployment.record
         deployment.publish()
-        entries = [deployment.add_machine(number, "entry") for number in (1, 2)]
+        entries = [deployment.add_machine(number, "entry") for number in range(1, ENTRIES + 1)]
         models = [{"name": harness.MODEL, "version": 1, "adapters": []}]
         workers = []
-        for number, version in ((3, "v1"), (4, "v2")):
+        for number in range(1, WORKERS + 1):
             worker = await deployment.add_worker(
-                number, "llm", slots=64, models=models, version=version
+                number, "llm", slots=32, models=models, version="v1" if number == 5 else "v2"
             )
             worker.handle = answer_stream
             workers.append(worker)
@@ -111,7 +111,7 @@
         clients = [Client(number, deployment, addresses) for number in range(1, STREAMS + 1)]
         reading = [asyncio.create_task(client.run()) for client in clients]
         await asyncio.sleep(STREAMS_BEFORE_S)
-        old = workers[0]
+        old = next(worker for worker in workers if worker.version == "v1")
         old.beats = False
         deployment.store.remove(f"servers/{old.name}")
         record.write(f"the entry of {old.name}, the last of v1, is removed; it serves on")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,9 +10,9 @@
 
 import harness  # noqa: E402
 
-SLOTS, QUEUE, WORK_S = 6, 6, 0.09
+SLOTS, QUEUE, WORK_S = 6, 24, 0.09
 KEY, TENANT = "key-of-puppeteers", "puppeteers"
-ENTRIES, CLIENTS = 4, 160
+ENTRIES, WORKERS, CLIENTS = 5, 4, 170
 SENDING_S = 6.0
 MAX_CLOSED = 3
 
@@ -94,7 +94,7 @@
         deployment.config["tenants"].append(tenant)
         deployment.publish()
         entries = [deployment.add_machine(number, "entry") for number in range(1, ENTRIES + 1)]
-        workers = [await deployment.add_worker(number, "desk") for number in (1, 2)]
+        workers = [await deployment.add_worker(10 + number, "desk") for number in range(WORKERS)]
         for worker in workers:
             worker.handle = Queue().handle
         await deployment.wait_ready(*entries)
