Log who closed a caller's connection

The line could not tell three hypotheses apart: the caller closed, the drain closed a connection with a request, the end of the process aborted it.

The server now keeps why it closed a connection itself.

The new test of tests.test_relay_caller_close fails without the change.

--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -52,17 +52,25 @@
             if not exchange.outlives_caller:
                 task.cancel()
                 await asyncio.wait((task,))
-            log(
-                Event.CALLER_LEFT,
-                request=pending.call.request_id,
-                state=exchange.state,
-                sends=exchange.sends,
-                waited_ms=round(monotonic_ms() - now_ms),
-                took_ms=round(monotonic_ms() - (exchange.caller_left_ms or now_ms)),
-            )
-            self._context.metrics.count("callers_left_total")
+            self._log_closed(exchange, responder.close_reason, now_ms)
             raise
 
+    def _log_closed(self, exchange: Exchange, reason: str, started_ms: float) -> None:
+        """Record that a connection closed before its response was complete, and who closed it."""
+        fields = {
+            "request": exchange.pending.call.request_id,
+            "state": exchange.state,
+            "sends": exchange.sends,
+            "waited_ms": round(monotonic_ms() - started_ms),
+            "took_ms": round(monotonic_ms() - (exchange.caller_left_ms or started_ms)),
+        }
+        if reason:
+            log(Event.CALLER_CUT_OFF, reason=reason, **fields)
+            self._context.metrics.count("callers_cut_off_total")
+        else:
+            log(Event.CALLER_LEFT, **fields)
+            self._context.metrics.count("callers_left_total")
+
     def cancel_revoked(self, table: RoutingTable) -> int:
         """Cancel requests whose key no longer belongs to their organisation; return how many."""
         cancelled = 0
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -75,12 +75,14 @@
     """The bytes of a caller's connection.
 
     *has_ended* is set, and *on_end* called, in the callback of the event loop that reads the
-    connection's close or reset; bytes before it may still be buffered.
+    connection's close or reset; bytes before it may still be buffered. *close_reason* says why this
+    process closed the connection; it is empty if it didn't.
     """
 
     def __init__(self, limit: int) -> None:
         super().__init__(limit, loop=asyncio.get_running_loop())
         self.has_ended = False
+        self.close_reason = ""
         self.on_end: Callable[[], None] = _ignore_end
 
     def feed_eof(self) -> None:
@@ -144,6 +146,11 @@
         """Whether the caller has closed its end of the connection, or the connection is closed."""
         return self.is_disconnected or self._reader.has_ended
 
+    @property
+    def close_reason(self) -> str:
+        """Why this process closed the connection; empty if it is open or the caller closed it."""
+        return self._reader.close_reason
+
     @property
     def has_ended(self) -> bool:
         """Whether the response is complete."""
@@ -176,6 +183,7 @@
     def cut(self) -> None:
         """Close the connection, so that an incomplete response is not taken for complete."""
         self._flush()
+        self._reader.close_reason = self._reader.close_reason or "the response broke off"
         self._writer.close()
 
     def _queue(self, event: object) -> None:
@@ -193,6 +201,7 @@
         data, self._pending_chunks = b"".join(self._pending_chunks), []
         self._writer.write(data)
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._reader.close_reason = "the caller does not read its response"
             self._writer.transport.abort()
 
 
@@ -329,10 +338,12 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if self._is_idle:
+            self._reader.close_reason = "no request was in progress at a planned stop"
             self._writer.close()
 
     def abort(self) -> None:
         """Close the connection at once; pending bytes are discarded."""
+        self._reader.close_reason = "the server closes"
         self._writer.transport.abort()
 
     async def run(self) -> None:
--- a/tests/test_relay_caller_close.py
+++ b/tests/test_relay_caller_close.py
@@ -114,3 +114,18 @@
             may_answer.set()
             self.assertEqual(status_of(await second), 200)
         self.assertEqual(worker.connections, 1)
+
+    async def test_a_connection_that_the_entry_closed_is_not_counted_as_left(self) -> None:
+        # A planned stop that cut off its callers was logged as if they had closed.
+        worker = PlatformWorker([silence()])
+        async with EntryHarness(worker, service="llm") as harness:
+            _, writer = await harness.connect()
+            self.addCleanup(writer.close)
+            writer.write(model_request())
+            await asyncio.wait_for(worker.first_received.wait(), 5)
+            (connection,) = harness.entry._caller_server._connections
+            connection.abort()
+            await asyncio.sleep(0.05)
+            metrics = harness.entry._context.metrics
+            self.assertEqual(metrics.counter("callers_left_total"), 0)
+            self.assertEqual(metrics.counter("callers_cut_off_total"), 1)
