Derive whether a caller's connection is idle

Cause: `_is_idle` was a flag. A read from the socket cleared it and the end of a handler set it. A request whose bytes were read while the handler before it was ending was then taken from the parser without a read, so the flag stayed set while it ran, and the drain closed the connection. A pipelined request and one that had arrived in part were hit too.

Being idle now follows from the parser's state, which leaves IDLE with the first byte of a request and returns to it when the answer is complete, and from what the reader holds. No order of reading, parsing and handling can leave it wrong.

--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -85,6 +85,11 @@
         self.close_reason = ""
         self.on_end: Callable[[], None] = _ignore_end
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that nobody has read from this reader."""
+        return bool(self._buffer)
+
     def feed_eof(self) -> None:
         """Record a close."""
         super().feed_eof()
@@ -312,7 +317,6 @@
     __slots__ = (
         "_h11",
         "_has_dropped_bytes",
-        "_is_idle",
         "_reader",
         "_responder",
         "_server",
@@ -329,15 +333,28 @@
         self._writer = writer
         self._h11 = self._new_parser()
         self._has_dropped_bytes = False
-        self._is_idle = True
 
     def _new_parser(self) -> h11.Connection:
         head_bytes = self._server._limits.head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of a request has arrived since the last response was complete."""
+        return not self._has_request_begun and not self._reader.has_unread
+
+    @property
+    def _has_request_begun(self) -> bool:
+        """Whether the parser holds a request or a part of one.
+
+        Derived from the parser, whose state stays past `h11.IDLE` until the next cycle begins:
+        bytes of a request may arrive before, while and after the handler of another one ends.
+        """
+        return self._h11.their_state is not h11.IDLE or bool(self._h11.trailing_data[0])
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if self._is_idle:
+        if self.is_idle:
             self._reader.close_reason = "no request was in progress at a planned stop"
             self._writer.close()
 
@@ -371,7 +388,6 @@
         await self._handle(request, responder)
         # Without this, responder and handler would refer to each other until a garbage collection.
         self._responder = responder.on_caller_left = None
-        self._is_idle = True
         if not responder.has_ended or self._server.is_closing or self._has_dropped_bytes:
             return False
         return self._start_next_cycle()
@@ -478,7 +494,7 @@
 
     async def _read_bytes(self) -> None:
         limits = self._server._limits
-        started = self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0]
+        started = self._has_request_begun
         timeout_ms = limits.read_timeout_ms if started else limits.idle_timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -490,7 +506,6 @@
             if data is None:
                 reason = "the request came too slowly"
                 raise RequestRefused(reason, code=Code.REQUEST_TIMEOUT) from None
-        self._is_idle = False
         self._h11.receive_data(data)
 
     async def _take_arrived(self) -> bytes | None:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1423,4 +1423,12 @@
         test="tests.test_relay_admission_path.TestAdmissionOverSockets"
         ".test_the_adapter_of_a_granted_request_is_in_use_before_its_run_begins",
     ),
+    Guard(
+        name="web-idle-connection",
+        file="web/_server.py",
+        code="return not self._has_request_begun and not",
+        without="return not",
+        test="tests.test_http_drain.TestReusedConnections"
+        ".test_a_request_read_while_the_answer_before_it_ended_is_answered",
+    ),
 )
