Let a planned stop wait until answers are sent

What callers saw: an answer that was written but not yet sent, to a caller that reads slowly, was cut off by the end of the process.

Cause: a connection left the server's set when its handler had returned and its transport was closed, though a closed transport still sends what it holds. The drain then found no connection and the process ended with bytes in its memory. Outside a stop such connections were counted nowhere and had no bound.

A connection now counts until its bytes are sent. A caller that takes nothing for the read time-out is cut off, and the drain's own bound, the grace, is as before.

Evidence: the first new test (3 MB to a caller with a small buffer) fails without the change, as the drain is done at once; the second guards against a wait without end.

--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -285,6 +285,20 @@
             connection.abort()
         await self._wait_until_empty()
 
+    async def _wait_until_sent(self, writer: asyncio.StreamWriter) -> None:
+        """Wait until a closed connection has sent its bytes; abort it if its caller stops reading.
+
+        The time-out begins anew with each piece that the caller takes.
+        """
+        transport, closed = writer.transport, None
+        while unsent := transport.get_write_buffer_size():
+            closed = closed or asyncio.ensure_future(writer.wait_closed())
+            await asyncio.wait((closed,), timeout=self._limits.read_timeout_ms / 1000)
+            if not closed.done() and transport.get_write_buffer_size() == unsent:
+                transport.abort()
+        if closed is not None:
+            await asyncio.gather(closed, return_exceptions=True)
+
     async def _wait_until_empty(self) -> None:
         while self._connections:  # noqa: ASYNC110 - each connection ends by its own time-outs
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
@@ -309,9 +323,11 @@
         except (OSError, EOFError, TimeoutError, h11.ProtocolError):
             pass
         finally:
-            self._connections.discard(connection)
             reader.on_end = _ignore_end
             writer.close()
+            # The connection counts until its last response is sent, also in a planned stop.
+            await self._wait_until_sent(writer)
+            self._connections.discard(connection)
 
 
 class _Connection:
--- a/tests/test_http_drain.py
+++ b/tests/test_http_drain.py
@@ -1,6 +1,7 @@
 """What a planned stop of the HTTP server closes, and what it lets finish."""
 
 import asyncio
+import socket
 import unittest
 
 from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
@@ -123,3 +124,40 @@
         await asyncio.sleep(0.05)
         await asyncio.wait_for(await self.drain(), 1)
         self.assertEqual(await self.reader.read(), b"")
+
+
+class TestUnsentAnswers(DrainTest):
+    """An answer is whole only once the caller's system has taken all of it."""
+
+    SIZE = 3_000_000
+    LIMITS = ServerLimits(read_timeout_ms=500)
+
+    async def asyncSetUp(self) -> None:
+        """Connect a caller whose system buffers little, and that reads nothing yet."""
+        await super().asyncSetUp()
+        self.caller = socket.socket()
+        self.addCleanup(self.caller.close)
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.caller.connect(self.server.bound_address)
+        self.caller.sendall(FIRST)
+        self.caller.setblocking(False)
+        await asyncio.sleep(0.05)
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer with more than the system buffers."""
+        responder.respond(200, [(b"connection", b"close")], b"x" * self.SIZE)
+
+    async def test_a_stop_waits_until_a_slow_caller_has_its_answer(self) -> None:
+        # The process ended while the rest of the answer was still in its memory.
+        draining = await self.drain()
+        self.assertFalse(draining.done())
+        received, loop = 0, asyncio.get_running_loop()
+        async with asyncio.timeout(5):
+            while data := await loop.sock_recv(self.caller, 65_536):
+                received += len(data)
+            await draining
+        self.assertGreater(received, self.SIZE)
+
+    async def test_a_caller_that_reads_nothing_is_cut_off(self) -> None:
+        """Guards against connections that stay until the process ends."""
+        await asyncio.wait_for(await self.drain(), 5)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1447,4 +1447,12 @@
         test="tests.test_http_drain.TestReusedConnections"
         ".test_a_request_behind_an_answer_that_announced_no_close_is_answered",
     ),
+    Guard(
+        name="web-unsent-answers",
+        file="web/_server.py",
+        code="await self._wait_until_sent(writer)",
+        without="pass",
+        test="tests.test_http_drain.TestUnsentAnswers"
+        ".test_a_stop_waits_until_a_slow_caller_has_its_answer",
+    ),
 )
