Ask the store's history which versions served before a start

The last endpoint of v1 had left the store half a second before the kill.

Cause: a process that had just started took registered endpoints of one version, all born over 30 s ago, for proof that the service had one version in that time. Ruled out: an agent that answered wrongly (nobody knew the stream, all asked had answered) and a late registration (v1 had been removed, not re-registered).

An entry now reads what the store remembers where a refusal would follow otherwise: the writes of the last seconds name the endpoints that have left. With another version among them unknown streams are refused for 30 s. With one version, and a history that reaches back to when the stream must have begun, they go on, so that a kill of everything costs no stream where nothing was released. The birth rule is gone, also from the answers to other entries.

Weighed: refusing all unknown streams for 30 s after a kill of all keeps ORDER, but costs each stream in flight, also with one version all along (LOST). Agents that vouch by their age may be killed with the entries, and the keepers of a stream change with those that die.

Tests that took the birth rule for proof now name what the registry remembers: in place of "where all endpoints are older" there are one for the rule that is gone (old endpoints alone: unknown), and for each way in which a history shows one version, two, too little, or was read before an outage.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -77,6 +77,7 @@
 from skylarkrack.core.relay._policy import Policy
 from skylarkrack.core.relay._quota_limiter import QuotaLimiter
 from skylarkrack.core.relay._rate_limits import RateLimits
+from skylarkrack.core.relay._registration_history import RegistrationHistory
 from skylarkrack.core.relay._reported_load import ReportedLoad, ReportedLoads
 from skylarkrack.core.relay._segments import SegmentReport, SegmentTracker
 from skylarkrack.core.relay._store_feed import (
@@ -91,6 +92,7 @@
 from skylarkrack.core.relay._stream_origins import (
     MAX_ASKED,
     ORIGIN_COPIES,
+    ORIGIN_TTL_MS,
     StreamOrigin,
     StreamOrigins,
     VersionView,
@@ -118,6 +120,7 @@
     "IN_USE_TTL_MS",
     "MAX_ASKED",
     "ORIGIN_COPIES",
+    "ORIGIN_TTL_MS",
     "REREGISTRATION_GRACE_MS",
     "AdapterPublished",
     "Attempts",
@@ -195,6 +198,7 @@
     "RateLimitReport",
     "RateLimits",
     "Refuse",
+    "RegistrationHistory",
     "ReportedLoad",
     "ReportedLoads",
     "QuotaLimiter",
--- a/src/skylarkrack/core/relay/_stream_origins.py
+++ b/src/skylarkrack/core/relay/_stream_origins.py
@@ -7,11 +7,12 @@
 While a service has more than one version, it also sends them to other entries, the stream's homes,
 which are found by rendezvous hashing.
 
-A stream that nobody knows may go on only where the service certainly had one version for as long as
-its callers may come back. A process that saw the registrations for that time knows it, and so does
-one that finds only endpoints that were born before. Both know it only of the time up to which they
-have read the registrations: a process that stood still, or is cut off, doesn't see a new version
-join while the others begin streams at it.
+A stream that nobody knows may go on only where the service certainly had one version since the
+stream began. A process that saw the registrations for that time knows it, and so does one that read
+what the registry remembers of that time. The endpoints that are registered now show nothing: others
+may have left a moment ago. Both know it only of the time up to which they have read the
+registrations: a process that stood still, or is cut off, doesn't see a new version join while the
+others begin streams at it.
 """
 
 import hashlib
@@ -55,8 +56,11 @@
 how long after it nothing that was received counts as new."""
 
 
+_NOTHING = (float("inf"), float("-inf"))
+
+
 class VersionView(IntEnum):
-    """What a process knows of the versions that a service had during `ORIGIN_TTL_MS`.
+    """What a process knows of the versions that a service had since a stream began.
 
     The numbers are part of the protocol. Builds before it take ONE for false, the others for true.
     """
@@ -99,6 +103,7 @@
         "_looked_ms",
         "_missed_until_ms",
         "_own_keys",
+        "_recalled_ms_by_service",
         "_record_by_key",
         "_seen_ms_by_version_by_service",
         "_stalled_until_ms",
@@ -113,6 +118,8 @@
         self._seen_ms_by_version_by_service: dict[str, dict[str, float]] = {}
         self._begun_ms_by_version_by_service: dict[str, dict[str, float]] = {}
         self._followed_since_ms_by_service: dict[str, float] = {}
+        # The start and the end of the time that the registry's history covers.
+        self._recalled_ms_by_service: dict[str, tuple[float, float]] = {}
         self._looked_ms = float("-inf")
         self._missed_until_ms = float("-inf")
         self._stalled_until_ms = float("-inf")
@@ -149,12 +156,11 @@
         now_ms: float,
         *,
         confirmed_ms: float,
-        calendar_ms: float,
+        began_within_ms: float = ORIGIN_TTL_MS,
     ) -> VersionView:
-        """Return what is known of the versions that a service had during the last `ORIGIN_TTL_MS`.
+        """Return what is known of the versions that a service had during *began_within_ms*.
 
-        *endpoints* are all registered ones as of *confirmed_ms*, and *calendar_ms* is this VM's
-        calendar time. A birth in the future, by a clock that differs, proves nothing.
+        *endpoints* are all registered ones as of *confirmed_ms*.
         """
         if self.is_mixed(service):
             return VersionView.SEVERAL
@@ -163,18 +169,26 @@
             and now_ms - self._looked_ms < STALL_MS
             and now_ms >= self._stalled_until_ms
         )
-        followed_ms = self._followed_since_ms_by_service.get(service, float("inf"))
-        since_ms = max(followed_ms, self._missed_until_ms)
-        if is_current and now_ms - since_ms >= ORIGIN_TTL_MS:
+        if is_current and self._covers(service, began_within_ms, now_ms):
             return VersionView.ONE
         known = [endpoint for endpoint in endpoints if endpoint.service == service]
         versions = {endpoint.software_version for endpoint in known}
         if len(versions) > 1 or versions and set(self.begun_versions(service, now_ms)) - versions:
             return VersionView.SEVERAL
         # Registrations that state no version ask for no distinction.
-        is_old = all(calendar_ms - endpoint.started_ms > ORIGIN_TTL_MS for endpoint in known)
-        is_one = bool(known) and (is_current and is_old or versions == {""})
-        return VersionView.ONE if is_one else VersionView.UNKNOWN
+        return VersionView.ONE if versions == {""} else VersionView.UNKNOWN
+
+    def _covers(self, service: str, began_within_ms: float, now_ms: float) -> bool:
+        """Return whether all versions since the begin of a stream are known.
+
+        Without the registry's history this takes the longest time for which any caller waits.
+        """
+        followed_ms = self._followed_since_ms_by_service.get(service, float("inf"))
+        since_ms = max(followed_ms, self._missed_until_ms)
+        recalled_from_ms, recalled_to_ms = self._recalled_ms_by_service.get(service, _NOTHING)
+        if since_ms > recalled_to_ms:
+            return now_ms - since_ms >= ORIGIN_TTL_MS
+        return now_ms - min(since_ms, recalled_from_ms) >= began_within_ms
 
     def own(self) -> list[bytes]:
         """Return the keys of the streams that this entry forwarded, the newest first."""
@@ -196,20 +210,22 @@
         for service in versions_by_service:
             self._followed_since_ms_by_service.setdefault(service, now_ms)
         for service, versions in versions_by_service.items():
-            seen_ms_by_version = self._seen_ms_by_version_by_service.setdefault(service, {})
-            was_mixed = len(seen_ms_by_version) > 1
-            for version in versions:
-                seen_ms_by_version[version] = now_ms
-            if not was_mixed and len(seen_ms_by_version) > 1:
-                # Origins were kept to this entry until now.
-                self._unsent_keys |= {
-                    key for key in self._own_keys if self._record_by_key[key][1].service == service
-                }
+            self._see(service, versions, now_ms)
         for seen_ms_by_version in self._seen_ms_by_version_by_service.values():
             for version, seen_ms in list(seen_ms_by_version.items()):
                 if now_ms - seen_ms >= ORIGIN_TTL_MS:
                     del seen_ms_by_version[version]
 
+    def recall(
+        self, service: str, versions: Iterable[str], covered_ms: float, now_ms: float
+    ) -> None:
+        """Record the versions that a service had, by the registry, during the last *covered_ms*.
+
+        They count as seen now, since the history doesn't tell when their endpoints left.
+        """
+        self._recalled_ms_by_service[service] = (now_ms - covered_ms, now_ms)
+        self._see(service, versions, now_ms)
+
     def record(self, key: bytes, origin: StreamOrigin, now_ms: float) -> None:
         """Record that this entry forwarded the first event of a stream, or took it up."""
         self._store(key, origin, now_ms)
@@ -243,6 +259,17 @@
                 break
             self._drop(key)
 
+    def _see(self, service: str, versions: Iterable[str], now_ms: float) -> None:
+        seen_ms_by_version = self._seen_ms_by_version_by_service.setdefault(service, {})
+        was_mixed = len(seen_ms_by_version) > 1
+        for version in versions:
+            seen_ms_by_version[version] = now_ms
+        if not was_mixed and len(seen_ms_by_version) > 1:
+            # Origins were kept to this entry until now.
+            self._unsent_keys |= {
+                key for key in self._own_keys if self._record_by_key[key][1].service == service
+            }
+
     def _store(self, key: bytes, origin: StreamOrigin, now_ms: float) -> None:
         self._record_by_key[key] = (now_ms, origin)
         begun_ms_by_version = self._begun_ms_by_version_by_service.setdefault(origin.service, {})
--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -18,6 +18,12 @@
 DEFAULT_RETRY_SLACK = 50.0
 """Retries of all entries in ten seconds beyond their ratio, if the file does not set them."""
 
+DEFAULT_HEARTBEAT_MS = 1200.0
+"""Time between two registrations of an endpoint if the file does not set it."""
+
+DEFAULT_HISTORY_MS = 20_000.0
+"""Time for which the store keeps its history if the file does not set it."""
+
 MIN_FORWARDING_LINK_MBPS = 50.0
 """Slowest link on which an entry forwards messages of other entries.
 
@@ -28,10 +34,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
-    """A VM's settings; *store* is the address of the platform's store, as `IP:port`."""
+    """A VM's settings; *store* is the address of the platform's store, as `IP:port`.
+
+    Endpoints register every *heartbeat_ms*, and the store keeps its history for *history_ms*.
+    """
 
     relay: RelaySettings
     store: str
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
+    history_ms: float = DEFAULT_HISTORY_MS
 
 
 def settings_path() -> str:
@@ -76,7 +87,14 @@
         ),
         cancels_on_revocation=value_by_key.get("bounds.strict-revoke") == "true",
     )
-    return PlatformSettings(relay=relay, store=value_by_key["platform.addr"])
+    history_s = _at_least_0(value_by_key, "platform.history-s", DEFAULT_HISTORY_MS / 1000)
+    return PlatformSettings(
+        relay=relay,
+        store=value_by_key["platform.addr"],
+        heartbeat_ms=_at_least_0(value_by_key, "heartbeat-ms", DEFAULT_HEARTBEAT_MS)
+        or DEFAULT_HEARTBEAT_MS,
+        history_ms=history_s * 1000,
+    )
 
 
 def _parse_lines(text: str) -> dict[str, str]:
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -16,6 +16,8 @@
     decode_version,
 )
 from skylarkrack.platform._evacuation_keys import evacuated_domain, is_evacuation
+from skylarkrack.platform._history import StoreHistory
+from skylarkrack.platform._settings import DEFAULT_HEARTBEAT_MS, DEFAULT_HISTORY_MS
 from skylarkrack.platform._store import EraRecord, HistoryLost, KeyValue, KeyValueBatch, Store
 from skylarkrack.relay import RegistryListener, StepExchange
 
@@ -102,6 +104,7 @@
         "_pause_ms",
         "_prefix",
         "_restored_ms",
+        "_revision",
         "_step_received_ms",
         "_store",
         "_task",
@@ -126,6 +129,7 @@
         self._era: int | None = None
         self._failure: str | None = None
         self._restored_ms: float | None = None
+        self._revision: int | None = None
         self._step_received_ms = float("-inf")
         self._task: asyncio.Task | None = None
 
@@ -139,10 +143,16 @@
             self._task.cancel()
             await asyncio.wait((self._task,))
 
+    @property
+    def position(self) -> tuple[int, int] | None:
+        """The era and the revision that were read last, or None."""
+        return None if self._revision is None else (self._era, self._revision)
+
     async def _watch_forever(self) -> None:
         revision: int | None = None
         retry_ms = MIN_RETRY_PAUSE_MS
         while True:
+            self._revision = revision
             try:
                 revision = await self._read_once(revision)
                 retry_ms = MIN_RETRY_PAUSE_MS
@@ -454,9 +464,12 @@
 
 
 class StoreWatcher:
-    """Watches published documents and registrations; implements `Watcher`."""
+    """Watches published documents and registrations; implements `Watcher`.
+
+    *history* reads the registrations that were written before.
+    """
 
-    __slots__ = ("_watchers", "_stores")
+    __slots__ = ("_stores", "_watchers", "history")
 
     def __init__(
         self,
@@ -465,10 +478,13 @@
         *,
         count_entries: Callable[[], int],
         exchange: StepExchange,
+        heartbeat_ms: float = DEFAULT_HEARTBEAT_MS,
+        history_ms: float = DEFAULT_HISTORY_MS,
     ) -> None:
         """*count_entries* returns the number of live entries of the fleet.
 
-        *exchange* connects this entry with the others of its failure domain.
+        *exchange* connects this entry with the others of its failure domain. Endpoints register
+        every *heartbeat_ms*, and the store keeps its history for *history_ms* or less.
         """
         # One connection for each prefix, since a watch occupies its connection while it waits.
         eras = EraRecord()
@@ -489,6 +505,13 @@
                 exchange=exchange,
             ),
         )
+        self.history = StoreHistory(
+            Store(address, eras),
+            REGISTRATIONS_PREFIX,
+            position=lambda: self._watchers[1].position,
+            heartbeat_ms=heartbeat_ms,
+            history_ms=history_ms,
+        )
 
     def start(self) -> None:
         """Start reading."""
@@ -499,5 +522,5 @@
         """Stop reading."""
         for watcher in self._watchers:
             await watcher.close()
-        for store in self._stores:
+        for store in (*self._stores, self.history):
             store.close()
--- a/src/skylarkrack/platform/daemon.py
+++ b/src/skylarkrack/platform/daemon.py
@@ -33,12 +33,16 @@
     incarnation = secrets.token_hex(8)
     if role == "entry":
         entry = RelayEntry(settings.relay, codec=PlatformCodec(), incarnation=incarnation)
-        return entry, StoreWatcher(
+        watcher = StoreWatcher(
             settings.store,
             entry.registry,
             count_entries=entry.count_entries,
             exchange=entry.store_feed,
+            heartbeat_ms=settings.heartbeat_ms,
+            history_ms=settings.history_ms,
         )
+        entry.set_registry_history(watcher.history)
+        return entry, watcher
     # An agent stores nothing, so its fence is the calendar time: a later start has a higher one.
     agent = EngineAgent(
         settings.relay,
--- a/src/skylarkrack/relay/__init__.py
+++ b/src/skylarkrack/relay/__init__.py
@@ -10,7 +10,13 @@
 from skylarkrack.relay._engine_agent import EngineAgent
 from skylarkrack.relay._entry import RelayEntry
 from skylarkrack.relay._log_sink import LogSink
-from skylarkrack.relay._registry import EnginePort, RegistryListener, StepExchange, Watcher
+from skylarkrack.relay._registry import (
+    EnginePort,
+    RegistryHistory,
+    RegistryListener,
+    StepExchange,
+    Watcher,
+)
 from skylarkrack.relay._settings import RelaySettings
 
 __all__ = [
@@ -20,6 +26,7 @@
     "HealthResponse",
     "IncomingRequest",
     "LogSink",
+    "RegistryHistory",
     "RegistryListener",
     "RelayCodec",
     "RelayEntry",
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -24,7 +24,7 @@
 from skylarkrack.relay._gossip import RETRY_SLACK_SHARE, TICK_MS, Gossip
 from skylarkrack.relay._health_prober import HealthProber
 from skylarkrack.relay._placement_queue import PlacementQueue
-from skylarkrack.relay._registry import StepExchange
+from skylarkrack.relay._registry import RegistryHistory, StepExchange
 from skylarkrack.relay._registry_view import RegistryView
 from skylarkrack.relay._request_handler import RequestHandler
 from skylarkrack.relay._route_explainer import RouteExplainer
@@ -204,6 +204,10 @@
             await self._gossip.announce_stop()
         self._gossip.close()
 
+    def set_registry_history(self, history: RegistryHistory) -> None:
+        """Read what the registry remembers from *history*; called before the start."""
+        self._gossip.set_registry_history(history)
+
     def settings_changed(self, settings: RelaySettings) -> None:
         """Apply changed settings; only the seeds may change while the process runs."""
         self._gossip.set_seeds(settings.seeds)
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -55,6 +55,7 @@
 from skylarkrack.relay._evacuation_exchange import EvacuationExchange
 from skylarkrack.relay._peers import ENTRY, Peers
 from skylarkrack.relay._rate_limit_exchange import RateLimitExchange
+from skylarkrack.relay._registry import RegistryHistory
 from skylarkrack.relay._segment_reports import SegmentReports
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.relay._store_feed import StoreFeed
@@ -198,6 +199,10 @@
         """Replace the addresses from which other processes are discovered."""
         self._peers.set_seeds(seeds)
 
+    def set_registry_history(self, history: RegistryHistory) -> None:
+        """Read what the registry remembers from *history*."""
+        self._stream_origins.history = history
+
     def describe(self) -> dict[str, list[str]]:
         """Return the VMs of the live entries and agents, by role; the own VM is left out."""
         return {
--- a/src/skylarkrack/relay/_registry.py
+++ b/src/skylarkrack/relay/_registry.py
@@ -10,6 +10,7 @@
     FeedKind,
     FeedStep,
     OrderResult,
+    RegistrationHistory,
 )
 
 
@@ -73,6 +74,16 @@
         """Return the next step of the reader; None after *timeout_ms* or to read at once."""
 
 
+class RegistryHistory(Protocol):
+    """What the registry remembers of the time before this process read it."""
+
+    async def recall(self, endpoints: int) -> RegistrationHistory | None:
+        """Return the registrations that were written lately, or None if they can't be read.
+
+        *endpoints* is the number of registered ones.
+        """
+
+
 class EnginePort(Protocol):
     """Calls to one model engine."""
 
--- a/src/skylarkrack/relay/_stream_origin_exchange.py
+++ b/src/skylarkrack/relay/_stream_origin_exchange.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable
 
-from skylarkrack._clock import local_calendar_s, monotonic_ms
+from skylarkrack._clock import monotonic_ms
 from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack.core.relay import (
     KEEPERS,
     MAX_ASKED,
     ORIGIN_COPIES,
+    ORIGIN_TTL_MS,
     EndpointDirectory,
     StreamKeepers,
     StreamOrigin,
@@ -17,6 +18,7 @@
 )
 from skylarkrack.messages import BegunStreams, StreamOriginAnswers
 from skylarkrack.relay._peers import Peers
+from skylarkrack.relay._registry import RegistryHistory
 from skylarkrack.relay._stream_origin_lookup import StreamOriginLookup
 
 MAX_STREAMS_PER_MESSAGE = 500
@@ -37,7 +39,7 @@
 class StreamOriginExchange:
     """Sends origins to the keepers and homes of their streams, and asks and answers others.
 
-    Implements `OriginPeers`.
+    Implements `OriginPeers`. *history* is set before the first request, if the registry has one.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "_lookup",
         "_metrics",
         "_peers",
+        "history",
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         self._incarnation_by_address: dict[str, str] = {}
         self._has_joined = False
         self._agents_checked_ms = float("-inf")
+        self.history: RegistryHistory | None = None
         lookup.peers = self
 
     # Agents
@@ -176,14 +180,34 @@
         """Repeat the question to those that have not answered."""
         self._peers.send(self._message(asked=[[key, service]]), *addresses)
 
-    def view_of(self, service: str) -> VersionView:
-        """Return what this entry knows of the versions that a service had."""
+    def view_of(self, service: str, began_within_ms: float = ORIGIN_TTL_MS) -> VersionView:
+        """Return what this entry knows of the versions that a service had since then."""
         return self._lookup.origins.view_of(
             service,
             self._directory.all(),
             monotonic_ms(),
             confirmed_ms=self._directory.confirmed_ms(),
-            calendar_ms=local_calendar_s() * 1000,
+            began_within_ms=began_within_ms,
+        )
+
+    async def recall(self, service: str) -> None:
+        """Read what the registry remembers of the versions that a service had, if it does."""
+        if self.history is None:
+            return
+        asked_ms = monotonic_ms()
+        endpoints = list(self._directory.all())
+        history = await self.history.recall(len(endpoints))
+        covered_ms, versions = 0.0, set()
+        if history is not None:
+            covered_ms = history.covered_ms(service, endpoints)
+            versions = history.versions_of(service)
+            self._lookup.origins.recall(service, versions, covered_ms, asked_ms)
+        log(
+            Event.VERSIONS_RECALLED,
+            service=service,
+            versions=sorted(versions),
+            covered_ms=round(covered_ms),
+            writes=None if history is None else len(history.writes),
         )
 
     def versions_of(self, service: str) -> set[str]:
--- a/src/skylarkrack/relay/_stream_origin_lookup.py
+++ b/src/skylarkrack/relay/_stream_origin_lookup.py
@@ -10,6 +10,8 @@
 from skylarkrack._metrics import Metrics
 from skylarkrack._tasks import Tasks
 from skylarkrack.core.relay import (
+    ORIGIN_TTL_MS,
+    Call,
     Endpoint,
     PendingRequest,
     StreamOrigin,
@@ -25,6 +27,9 @@
 """Part of it for the agents that are asked first, before others are asked as well. One that is dead
 or of an older build doesn't answer. The silent ones are asked again, since datagrams are lost."""
 
+RECALL_TIMEOUT_MS = 1000.0
+"""Time to wait for what the registry remembers: some hundred kilobytes for a large fleet."""
+
 DISCOVERY_MS = 400.0
 """Time after the start in which an entry finds the agents; before, it would ask too few."""
 
@@ -44,8 +49,11 @@
     def ask_again(self, key: bytes, service: str, addresses: Iterable[str]) -> None:
         """Repeat the question to those that have not answered."""
 
-    def view_of(self, service: str) -> VersionView:
-        """Return what this process knows of a service's versions."""
+    def view_of(self, service: str, began_within_ms: float = ORIGIN_TTL_MS) -> VersionView:
+        """Return what this process knows of the versions that a service had since then."""
+
+    async def recall(self, service: str) -> None:
+        """Read what the registry remembers of the versions that a service had, if it does."""
 
     def versions_of(self, service: str) -> set[str]:
         """Return the versions of the service's registered endpoints."""
@@ -129,7 +137,15 @@
     `peers` is set before the first request; without it no other process is asked or told.
     """
 
-    __slots__ = ("_metrics", "_question_by_key", "_started_ms", "_tasks", "origins", "peers")
+    __slots__ = (
+        "_metrics",
+        "_question_by_key",
+        "_recall_by_service",
+        "_started_ms",
+        "_tasks",
+        "origins",
+        "peers",
+    )
 
     def __init__(self, *, tasks: Tasks, metrics: Metrics) -> None:
         self.origins = StreamOrigins()
@@ -137,6 +153,7 @@
         self._tasks = tasks
         self._metrics = metrics
         self._question_by_key: dict[bytes, _Question] = {}
+        self._recall_by_service: dict[str, asyncio.Task] = {}
         self._started_ms = float("-inf")
 
     def start(self) -> None:
@@ -154,7 +171,10 @@
             self._check_unnamed(pending.service_name)
             return
         origin = await self.find(
-            _key_of(pending), pending.service_name, request_id=pending.call.request_id
+            _key_of(pending),
+            pending.service_name,
+            request_id=pending.call.request_id,
+            began_within_ms=_began_within_ms(pending.call, monotonic_ms()),
         )
         if origin is not None:
             self._apply(pending, origin)
@@ -207,11 +227,18 @@
             if self.peers is not None:
                 self.peers.send_begun(key, origin)
 
-    async def find(self, key: bytes, service: str, *, request_id: str = "") -> StreamOrigin | None:
+    async def find(
+        self,
+        key: bytes,
+        service: str,
+        *,
+        request_id: str = "",
+        began_within_ms: float = ORIGIN_TTL_MS,
+    ) -> StreamOrigin | None:
         """Return the origin of a stream; None if it is unknown, but the service had one version.
 
         Raises `RequestRefused` if it is unknown and the service had several versions, or may have
-        had, while the stream's caller waited.
+        had, during *began_within_ms*, the time in which the stream must have begun.
         """
         origin = self.origins.find(key, monotonic_ms())
         if origin is not None or self.peers is None:
@@ -221,13 +248,16 @@
         asked_ms = monotonic_ms()
         question = await self._ask(key, service)
         took_ms = monotonic_ms() - asked_ms
-        views = {*question.views, self.peers.view_of(service)}
-        if question.is_unheard:
-            # A process that nobody answers may be cut off, and see no version join.
-            views.discard(VersionView.ONE)
+        views = {*question.views, self.peers.view_of(service, began_within_ms)}
         if question.begun_versions - self.peers.versions_of(service):
             # A version that began streams a moment ago has left.
             views.add(VersionView.SEVERAL)
+        if question.origin is None and views <= {VersionView.UNKNOWN}:
+            await self._recall(service)
+            views.add(self.peers.view_of(service, began_within_ms))
+        if question.is_unheard:
+            # A process that nobody answers may be cut off, and see no version join.
+            views.discard(VersionView.ONE)
         is_one_version = VersionView.ONE in views and VersionView.SEVERAL not in views
         result = "found" if question.origin else "one_version" if is_one_version else "refused"
         log(
@@ -267,6 +297,14 @@
         if question is not None:
             question.receive(address, origin, view, begun_versions)
 
+    async def _recall(self, service: str) -> None:
+        """Read the registry's history of a service, once for all that wait for it."""
+        task = self._recall_by_service.get(service)
+        if task is None:
+            task = self._recall_by_service[service] = self._tasks.spawn(self.peers.recall(service))
+            task.add_done_callback(lambda _: self._recall_by_service.pop(service, None))
+        await asyncio.wait((task,), timeout=RECALL_TIMEOUT_MS / 1000)
+
     async def _ask(self, key: bytes, service: str) -> _Question:
         """Return the answers of other processes; takes up to `LOOKUP_TIMEOUT_MS`."""
         question = self._question_by_key.get(key)
@@ -294,6 +332,19 @@
             self._question_by_key.pop(key, None)
 
 
+def _began_within_ms(call: Call, now_ms: float) -> float:
+    """Return the time in which a stream must have begun whose caller takes it up now.
+
+    Callers wait for `ORIGIN_TTL_MS` at most, over all of their attempts, and this one waits on.
+    Half of that time always counts, as a caller may begin its limit anew with each attempt.
+    """
+    patience_ms = call.patience_ms or 0.0
+    if patience_ms >= ORIGIN_TTL_MS:
+        return ORIGIN_TTL_MS
+    left_ms = min(call.arrived_ms + patience_ms - now_ms, ORIGIN_TTL_MS / 2)
+    return ORIGIN_TTL_MS - max(0.0, left_ms)
+
+
 def _key_of(pending: PendingRequest) -> bytes:
     """Return the key of a request's stream, which an earlier request may have begun."""
     call = pending.call
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -32,6 +32,7 @@
     """Holds items with revisions, which tests write by `put` and `remove`.
 
     `calls` lists the paths of all requests received, and `watched` the prefixes of the watches.
+    `max_events` bounds the events in one answer to a watch.
     """
 
     def __init__(self) -> None:
@@ -41,6 +42,8 @@
         self.watched: list[str] = []
         self._item_by_key: dict[str, dict] = {}
         self._log: list[dict] = []
+        self._kept_after = 0
+        self.max_events = 10_000
         self._changed = asyncio.Event()
         self.era = 1
 
@@ -60,6 +63,10 @@
                 self._item_by_key[event["key"]] = event
         self._notify()
 
+    def keep_after(self, revision: int) -> None:
+        """Discard the history up to a revision."""
+        self._kept_after = revision
+
     def put(self, key: str, value: bytes) -> None:
         """Store *value* under *key* at the next revision and notify watches."""
         self.revision += 1
@@ -124,7 +131,7 @@
     async def _answer_watch(
         self, responder: Responder, prefix: str, after: int, wait_ms: int
     ) -> None:
-        if self.faults.history_lost or after > self.revision:
+        if self.faults.history_lost or not self._kept_after <= after <= self.revision:
             self._write(responder, {}, status=410)
             return
         try:
@@ -136,9 +143,11 @@
         if self.faults.lose_answers:
             responder.cut()
             return
-        self._write(
-            responder, {"events": self._events_after(prefix, after), "as-of": self.revision}
-        )
+        events = self._events_after(prefix, after)
+        is_whole = len(events) <= self.max_events
+        events = events[: self.max_events]
+        as_of = self.revision if is_whole else events[-1]["rev"]
+        self._write(responder, {"events": events, "as-of": as_of})
 
     def _events_after(self, prefix: str, after: int) -> list[dict]:
         return [e for e in self._log if e["rev"] > after and e["key"].startswith(prefix)]
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -9,7 +9,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack.core.relay import Endpoint, EngineStateReceived
 from skylarkrack.platform._headers import PlatformCodec
-from skylarkrack.relay import RelayEntry, RelaySettings
+from skylarkrack.relay import RegistryHistory, RelayEntry, RelaySettings
 from standins.platform_worker import PlatformWorker
 from tests.relay_builders import MODEL, state
 
@@ -98,6 +98,7 @@
         seeds: tuple[str, ...] = (),
         started_ms: int = 1000,
         status: str | None = None,
+        history: RegistryHistory | None = None,
     ) -> None:
         self.workers = workers
         self._started_ms = started_ms
@@ -118,6 +119,8 @@
         )
         self.peers = settings.peers
         self.entry = RelayEntry(settings, codec=PlatformCodec(), incarnation=vm)
+        if history is not None:
+            self.entry.set_registry_history(history)
 
     async def __aenter__(self) -> "EntryHarness":
         for worker in self.workers:
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -14,6 +14,7 @@
 from skylarkrack.relay._peers import ENTRY, Peers
 from standins.platform_worker import PlatformWorker, resumable
 from tests.platform_builders import EntryHarness, model_request
+from tests.registration_history_builders import StubHistory
 from tests.test_relay_fleet import FakeEngine, settings, until
 
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n")
@@ -91,7 +92,12 @@
         self.seeds.append(peer_settings.peers)
 
     async def start_entry(
-        self, vm: str, *workers: PlatformWorker, age_s: float = 3600.0, waits: bool = True
+        self,
+        vm: str,
+        *workers: PlatformWorker,
+        age_s: float = 3600.0,
+        waits: bool = True,
+        history: StubHistory | None = None,
     ) -> EntryHarness:
         """Start an entry that knows *workers*, whose endpoints were born *age_s* ago.
 
@@ -105,6 +111,7 @@
             vm=vm,
             seeds=tuple(self.seeds),
             started_ms=round((time.time() - age_s) * 1000),
+            history=history,
         )
         self.entries.append(await self.enterAsyncContext(harness))
         if waits:
--- a/tests/test_relay_stream_keepers.py
+++ b/tests/test_relay_stream_keepers.py
@@ -9,7 +9,13 @@
 
 from skylarkrack.core import _hashing
 from skylarkrack.core._hashing import HashRing
-from skylarkrack.core.relay import StreamKeepers, StreamOrigin, StreamOrigins, VersionView
+from skylarkrack.core.relay import (
+    RegistrationHistory,
+    StreamKeepers,
+    StreamOrigin,
+    StreamOrigins,
+    VersionView,
+)
 from skylarkrack.core.relay._stream_keepers import (
     FIRST_ASKED,
     MAX_ASKED_AGENTS,
@@ -243,6 +249,46 @@
         self.assertEqual(origins.own(), [b"three", b"one"])
 
 
+class TestRegistrationHistory(unittest.TestCase):
+    """What the writes that a registry remembers show of versions and of time."""
+
+    def history(self, **writes_by_id: int) -> RegistrationHistory:
+        """Return the history with so many writes of each endpoint."""
+        writes = [
+            endpoint(endpoint_id, service="llm", software_version="v1")
+            for endpoint_id, count in writes_by_id.items()
+            for _ in range(count)
+        ]
+        return RegistrationHistory(writes=tuple(writes), heartbeat_ms=1000.0)
+
+    def covered_ms(self, *registered: str, **writes_by_id: int) -> float:
+        """Return the time that such a history covers for the endpoints that are registered."""
+        endpoints = [endpoint(endpoint_id, service="llm") for endpoint_id in registered]
+        return self.history(**writes_by_id).covered_ms("llm", endpoints)
+
+    def test_time_is_counted_in_heartbeats(self) -> None:
+        self.assertEqual(self.covered_ms("e1", "e2", e1=11, e2=11), 10_000.0)
+
+    def test_an_endpoint_that_writes_more_or_less_than_the_others(self) -> None:
+        """Guards against a longer time because one endpoint changed its state many times."""
+        self.assertEqual(self.covered_ms("e1", "e2", "e3", e1=40, e2=11, e3=2), 10_000.0)
+        self.assertEqual(self.covered_ms("e1", "e2", e1=40, e2=11), 10_000.0)
+
+    def test_endpoints_that_have_just_started(self) -> None:
+        """Guards against time that is counted by endpoints that have left."""
+        self.assertEqual(self.covered_ms("e2", e1=40, e2=1), 0.0)
+        self.assertEqual(self.covered_ms(e1=40), 0.0)
+
+    def test_versions_of_endpoints_that_left_count(self) -> None:
+        writes = (
+            endpoint("e1", service="llm", software_version="v1"),
+            endpoint("e1", service="llm", software_version="v1.1"),
+            endpoint("e2", service="desk", software_version="v2"),
+        )
+        history = RegistrationHistory(writes=writes, heartbeat_ms=1000.0)
+        self.assertEqual(history.versions_of("llm"), {"v1", "v1.1"})
+
+
 class TestVersionViews(unittest.TestCase):
     """Whether a service certainly had one version while callers of its streams waited."""
 
@@ -260,9 +306,7 @@
             )
             for number, (version, age_ms) in enumerate(age_by_version)
         ]
-        return self.origins.view_of(
-            "llm", endpoints, now_ms, confirmed_ms=now_ms, calendar_ms=NOW_CALENDAR_MS
-        )
+        return self.origins.view_of("llm", endpoints, now_ms, confirmed_ms=now_ms)
 
     def follow(self, since_ms: float, until_ms: float, *versions: str) -> None:
         """Look at the registrations every 250 ms."""
@@ -306,14 +350,46 @@
         self.assertEqual(self.view(50_000.0, ("v1", 100.0)), VersionView.ONE)
 
     def test_endpoints_that_are_older_than_any_waiting_caller(self) -> None:
-        """Guards against refusals after a kill of all processes where nothing was released."""
+        # They were taken for all that had served, though others may have left a moment ago.
         self.follow(0.0, 0.0, "v1")
-        self.assertEqual(self.view(0.0, ("v1", ORIGIN_TTL_MS + 1)), VersionView.ONE)
-        for age_ms in (ORIGIN_TTL_MS, 0.0, -60_000.0):
+        for age_ms in (ORIGIN_TTL_MS + 1, ORIGIN_TTL_MS, 0.0, -60_000.0):
             with self.subTest(age_ms=age_ms):
                 ages = (("v1", 90_000.0), ("v1", age_ms))
                 self.assertEqual(self.view(0.0, *ages), VersionView.UNKNOWN)
 
+    def test_the_history_shows_one_version(self) -> None:
+        """Guards against refusals after a kill of all processes where nothing was released."""
+        self.follow(0.0, 0.0, "v1")
+        self.origins.recall("llm", {"v1"}, ORIGIN_TTL_MS, 0.0)
+        self.assertEqual(self.view(0.0, ("v1", 90_000.0)), VersionView.ONE)
+
+    def test_the_history_is_shorter_than_callers_wait(self) -> None:
+        """Guards against a version that left before the time that the history covers."""
+        self.follow(0.0, 0.0, "v1")
+        self.origins.recall("llm", {"v1"}, 18_000.0, 0.0)
+        self.assertEqual(self.view(0.0, ("v1", 90_000.0)), VersionView.UNKNOWN)
+        self.follow(250.0, 12_000.0, "v1")
+        self.assertEqual(self.view(11_999.0, ("v1", 90_000.0)), VersionView.UNKNOWN)
+        self.assertEqual(self.view(12_000.0, ("v1", 90_000.0)), VersionView.ONE)
+
+    def test_the_history_shows_a_version_that_left(self) -> None:
+        """Guards against streams of a version whose last endpoint is no longer registered."""
+        self.follow(0.0, 0.0, "v1.1")
+        self.origins.recall("llm", {"v1", "v1.1"}, 90_000.0, 0.0)
+        self.assertEqual(self.view(0.0, ("v1.1", 90_000.0)), VersionView.SEVERAL)
+        self.follow(250.0, ORIGIN_TTL_MS - 250, "v1.1")
+        self.assertEqual(self.view(ORIGIN_TTL_MS - 1, ("v1.1", 90_000.0)), VersionView.SEVERAL)
+        self.follow(ORIGIN_TTL_MS, ORIGIN_TTL_MS, "v1.1")
+        self.assertEqual(self.view(ORIGIN_TTL_MS, ("v1.1", 90_000.0)), VersionView.ONE)
+
+    def test_the_history_was_read_before_an_outage(self) -> None:
+        """Guards against a history that is continued over a time that nobody followed."""
+        self.follow(0.0, 0.0, "v1")
+        self.origins.recall("llm", {"v1"}, ORIGIN_TTL_MS, 0.0)
+        self.origins.miss_until(1000.0)
+        self.follow(250.0, 1250.0, "v1")
+        self.assertEqual(self.view(1250.0, ("v1", 90_000.0)), VersionView.UNKNOWN)
+
     def test_old_endpoints_of_two_versions(self) -> None:
         """Guards against the rule for old endpoints where a release is halfway."""
         self.assertEqual(self.view(0.0, ("v1", 90_000.0), ("v1.1", 90_000.0)), VersionView.SEVERAL)
--- a/tests/test_relay_stream_origin_network.py
+++ b/tests/test_relay_stream_origin_network.py
@@ -12,6 +12,7 @@
 from skylarkrack._errors import Code, RequestRefused
 from skylarkrack.core.relay._stream_origins import ORIGIN_TTL_MS, STREAM_KEY_BYTES
 from skylarkrack.relay._stream_origin_exchange import MAX_NAME_CHARS
+from tests.registration_history_builders import StubHistory
 from tests.stream_origin_network import (
     Network,
     SimulatedAgent,
@@ -245,6 +246,7 @@
         await asyncio.sleep(0.03)
         network.kill("n0")
         after = SimulatedEntry(network, "n1", versions=("v1",))
+        after.exchange.history = StubHistory(("e0", "v1"), remembered_ms=ORIGIN_TTL_MS)
         after.look(monotonic_ms())
         for entry in (before, after):
             self.addCleanup(entry.tasks.close)
--- a/tests/test_relay_stream_origins.py
+++ b/tests/test_relay_stream_origins.py
@@ -19,6 +19,7 @@
 from skylarkrack.core.relay._stream_origins import MAX_ORIGINS, ORIGIN_TTL_MS, STREAM_KEY_BYTES
 from standins.platform_worker import PlatformWorker, resumable
 from tests.platform_builders import EntryHarness, model_request
+from tests.registration_history_builders import StubHistory
 from tests.test_relay_fleet import until
 from tests.test_relay_path import is_whole, status_of
 
@@ -103,8 +104,15 @@
         self.assertEqual(len(self.old.received) + len(self.new.received), self.begun)
 
     async def test_an_unknown_stream_goes_on_while_there_is_one_version(self) -> None:
+        history = StubHistory(("i-0", "v1.1"), remembered_ms=40_000.0)
         alone = await self.enterAsyncContext(
-            EntryHarness(self.new, service="llm", software_versions=("v1.1",), vm="entry-3")
+            EntryHarness(
+                self.new,
+                service="llm",
+                software_versions=("v1.1",),
+                vm="entry-3",
+                history=history,
+            )
         )
         response = await alone.send_raw(model_request("/draft/1", request_id="r2", headers=TAKE_UP))
         self.assertTrue(is_whole(response))
--- a/tests/test_relay_stream_restarts.py
+++ b/tests/test_relay_stream_restarts.py
@@ -10,6 +10,7 @@
 from skylarkrack.relay._peers import AGENT, ENTRY, Peers
 from standins.platform_worker import resumable, stream
 from tests.platform_builders import as_bytes, config, model_request
+from tests.registration_history_builders import StubHistory
 from tests.stream_fleet import AGENTS, EVENTS, RestartCase, keepers_of
 from tests.test_relay_fleet import settings, until
 from tests.test_relay_path import is_whole, status_of
@@ -60,11 +61,37 @@
         self.assertEqual(status_of(await self.take_up(after, "other")), 503)
         self.assertEqual(self.new.received, [])
 
-    async def test_an_unknown_stream_goes_on_where_all_endpoints_are_older(self) -> None:
+    async def test_an_unknown_stream_goes_on_where_one_version_served(self) -> None:
         """Guards against refusals where one version served for as long as callers wait."""
-        after = await self.start_entry("entry-2", self.new, age_s=40.0)
+        history = StubHistory(("i-0", "v1.1"), remembered_ms=40_000.0)
+        after = await self.start_entry("entry-2", self.new, age_s=40.0, history=history)
         self.assertTrue(is_whole(await self.take_up(after, "other")))
 
+    async def test_a_caller_that_waits_on_came_a_short_time_ago(self) -> None:
+        """Guards against refusals because a registry remembers less than callers may wait."""
+        history = StubHistory(("i-0", "v1.1"), remembered_ms=18_000.0)
+        after = await self.start_entry("entry-2", self.new, age_s=40.0, history=history)
+        headers = "Resumes: other\r\nLast-Event-Id: 1\r\nX-Deadline-Ms: {}\r\n"
+        for deadline_ms, status in ((11_000, 503), (60_000, 503), (14_000, 200)):
+            with self.subTest(deadline_ms=deadline_ms):
+                attempt = model_request("/draft/1", headers=headers.format(deadline_ms))
+                self.assertEqual(status_of(await after.send_raw(attempt)), status)
+
+    async def test_a_stream_of_an_endpoint_that_left_before_all_were_killed(self) -> None:
+        # Today's endpoints are older than any caller waits: they were taken for all that served.
+        before = await self.start_entry("entry-1", self.old)
+        await self.begin(before, self.old)
+        await self.kill_entries()
+        for number in range(AGENTS):
+            await self.restart_agent(number)
+        registry = StubHistory(("i-0", "v1.1"), ("i-9", "v1"), remembered_ms=40_000.0)
+        for number, history in enumerate((None, registry)):
+            with self.subTest(history=history):
+                after = await self.start_entry(f"entry-2{number}", self.new, history=history)
+                self.assertEqual(status_of(await self.take_up(after)), 503)
+        self.assertEqual(self.new.received, [])
+        self.assertEqual(registry.readings, 1)
+
     async def test_two_kills_within_three_seconds(self) -> None:
         """Guards against a stream that was taken up once and whose second entry dies as well."""
         before = await self.start_entry("entry-1", self.old, self.new)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -902,23 +902,49 @@
     Guard(
         name="relay-origin-young-entry",
         file="core/relay/_stream_origins.py",
-        code="now_ms - since_ms >= ORIGIN_TTL_MS:",
-        without='since_ms < float("inf"):',
+        code="return now_ms - since_ms >= ORIGIN_TTL_MS",
+        without='return since_ms < float("inf")',
         test="tests.test_relay_stream_origin_network.TestCertainty.test_an_entry_that_has_just_started_refuses",
     ),
     Guard(
-        name="relay-origin-young-endpoints",
+        name="relay-origin-version-left",
         file="core/relay/_stream_origins.py",
-        code="calendar_ms - endpoint.started_ms > ORIGIN_TTL_MS for",
-        without="True for",
-        test="tests.test_relay_stream_restarts.TestAllEntriesKilled.test_an_unknown_stream_is_refused_while_all_endpoints_are_young",
+        code="        self._see(service, versions, now_ms)\n\n    def record(",
+        without="\n    def record(",
+        test="tests.test_relay_stream_keepers.TestVersionViews"
+        ".test_the_history_shows_a_version_that_left",
     ),
     Guard(
-        name="relay-origin-old-endpoints",
+        name="relay-origin-history-followed",
         file="core/relay/_stream_origins.py",
-        code='(is_current and is_old or versions == {""})',
-        without='(versions == {""})',
-        test="tests.test_relay_stream_restarts.TestAllEntriesKilled.test_an_unknown_stream_goes_on_where_all_endpoints_are_older",
+        code="if since_ms > recalled_to_ms:",
+        without="if recalled_to_ms < 0:",
+        test="tests.test_relay_stream_keepers.TestVersionViews"
+        ".test_the_history_was_read_before_an_outage",
+    ),
+    Guard(
+        name="relay-origin-recalled",
+        file="relay/_stream_origin_lookup.py",
+        code="            await self._recall(service)\n",
+        without="            pass\n",
+        test="tests.test_relay_stream_restarts.TestAllEntriesKilled"
+        ".test_an_unknown_stream_goes_on_where_one_version_served",
+    ),
+    Guard(
+        name="relay-history-heartbeats",
+        file="core/relay/_registration_history.py",
+        code="median_low(counts)",
+        without="max(counts)",
+        test="tests.test_relay_stream_keepers.TestRegistrationHistory"
+        ".test_an_endpoint_that_writes_more_or_less_than_the_others",
+    ),
+    Guard(
+        name="relay-history-narrowing",
+        file="platform/_history.py",
+        code="back = int(back * NARROWING)\n                    continue",
+        without="return None",
+        test="tests.test_registration_history.TestStoreHistory"
+        ".test_the_store_remembers_less_than_is_asked_for",
     ),
     Guard(
         name="relay-origin-frozen-entry",
