Give back to a quota only what a request took of it

Cause: the cost was given back by looking the organisation up again in two collections that are filled at different times. Where the organisation had a total the refund went through and was wrong as well: it added to the bucket what had never been taken from it.

A grant is now a receipt that says what was taken, and only that is given back. What holds in the collections then follows from the receipt. The other things that the relay gives back by a key were read: runs and tokens at an endpoint are counted under the key that their run keeps, retries and permits are not given back.

--- a/src/skylarkrack/core/relay/__init__.py
+++ b/src/skylarkrack/core/relay/__init__.py
@@ -75,7 +75,7 @@
 from skylarkrack.core.relay._order_pace import OrderPace
 from skylarkrack.core.relay._pace import Pace, PaceNotice, PaceReport
 from skylarkrack.core.relay._policy import Policy
-from skylarkrack.core.relay._quota_limiter import QuotaLimiter
+from skylarkrack.core.relay._quota_limiter import QuotaGrant, QuotaLimiter
 from skylarkrack.core.relay._rate_limits import RateLimits
 from skylarkrack.core.relay._registration_history import RegistrationHistory
 from skylarkrack.core.relay._reported_load import ReportedLoad, ReportedLoads
@@ -201,6 +201,7 @@
     "RegistrationHistory",
     "ReportedLoad",
     "ReportedLoads",
+    "QuotaGrant",
     "QuotaLimiter",
     "VersionView",
     "WaitFor",
--- a/src/skylarkrack/core/relay/_dispatch.py
+++ b/src/skylarkrack/core/relay/_dispatch.py
@@ -35,6 +35,7 @@
 from skylarkrack.core.relay._paced_endpoints import PacedEndpoints
 from skylarkrack.core.relay._placement import Candidate, PlacementContext, RankCache, candidates
 from skylarkrack.core.relay._policy import Policy
+from skylarkrack.core.relay._quota_limiter import QuotaGrant
 from skylarkrack.core.relay._rate_limits import RateLimits
 from skylarkrack.core.relay._reported_load import ReportedLoad, ReportedLoads
 from skylarkrack.core.relay._table import EngineShape, Route, RoutingTable
@@ -74,10 +75,11 @@
     """An admitted request that has no endpoint yet, or may need another one.
 
     *tried* holds the endpoints at which an attempt failed; they are used again only if no other is
-    left. *cost* is what it took of its organisation's quota; *key_digest* is the digest of the
-    caller's key. *fingerprint* is equal for requests with the same organisation, path and body.
-    *waiting_at* is the endpoint that it waits for. *software_version* is the only version of the
-    endpoints' software at which it may go on, or None if it may begin at any.
+    left. *cost* is what it costs of its organisation's quota, and *quota_grant* what it took, or
+    None without an organisation. *key_digest* is the digest of the caller's key. *fingerprint* is
+    equal for requests with the same organisation, path and body. *waiting_at* is the endpoint that
+    it waits for. *software_version* is the only version of the endpoints' software at which it may
+    go on, or None if it may begin at any.
     """
 
     call: Call
@@ -92,6 +94,7 @@
     tried: set[EndpointKey] = field(default_factory=set)
     waiting_at: EndpointKey | None = None
     software_version: str | None = None
+    quota_grant: QuotaGrant | None = None
 
     @property
     def need(self) -> ModelNeed | None:
--- a/src/skylarkrack/core/relay/_quota_limiter.py
+++ b/src/skylarkrack/core/relay/_quota_limiter.py
@@ -59,6 +59,17 @@
         self.level = min(self.quota.burst, self.level)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaGrant:
+    """What one request took of its organisation's quota.
+
+    *amount* is 0 if there was no limit, and nothing was taken.
+    """
+
+    organisation: str
+    amount: float
+
+
 @dataclass(slots=True)
 class _Peer:
     incarnation: str
@@ -131,30 +142,36 @@
             if quota.rate_per_s > 0:
                 self._advance(organisation, quota, now_ms)
 
-    def try_acquire(self, organisation: str, amount: float, quota: Quota, now_ms: float) -> bool:
+    def try_acquire(
+        self, organisation: str, amount: float, quota: Quota, now_ms: float
+    ) -> QuotaGrant | None:
         """Grant *amount*, which may exceed the level, if the bucket isn't empty.
 
-        Returns whether it was granted; it always is if the quota has no limit.
+        Returns what was taken, which is nothing if the quota has no limit, or None if the bucket is
+        empty.
         """
         if quota.rate_per_s <= 0:
-            return True
-        if not self._is_shared:
-            quota = self._equal_share(quota)
-        bucket = self._advance(organisation, quota, now_ms)
-        if bucket.level <= 0:
-            return False
-        bucket.deduct(amount)
-        granted = self._granted_by_organisation
-        granted[organisation] = granted.get(organisation, 0.0) + amount
-        return True
-
-    def refund(self, organisation: str, amount: float) -> None:
-        """Return to the bucket the grant of a request that was not and will not be run."""
-        bucket = self._bucket_by_organisation.get(organisation)
-        if bucket is None:
-            return
-        bucket.level = min(bucket.quota.burst, bucket.level + amount)
-        self._granted_by_organisation[organisation] -= amount
+            amount = 0.0
+        else:
+            if not self._is_shared:
+                quota = self._equal_share(quota)
+            bucket = self._advance(organisation, quota, now_ms)
+            if bucket.level <= 0:
+                return None
+            bucket.deduct(amount)
+            granted = self._granted_by_organisation
+            granted[organisation] = granted.get(organisation, 0.0) + amount
+        return QuotaGrant(organisation=organisation, amount=amount)
+
+    def refund(self, grant: QuotaGrant) -> None:
+        """Give back what a request took that was not and will not be run.
+
+        The quota may have changed meanwhile.
+        """
+        if grant.amount > 0:
+            bucket = self._bucket_by_organisation[grant.organisation]
+            bucket.level = min(bucket.quota.burst, bucket.level + grant.amount)
+            self._granted_by_organisation[grant.organisation] -= grant.amount
 
     def receive_grants(
         self,
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -578,8 +578,8 @@
     def _fail(self, refusal: RequestRefused) -> None:
         has_begun = self._responder.has_started
         self._log.failed(refusal, self._last_placement, self._attempts, has_begun=has_begun)
-        if refusal.outcome is Outcome.NOT_RUN and self.pending.cost:
-            self._context.quota_limiter.refund(self.pending.organisation, self.pending.cost)
+        if refusal.outcome is Outcome.NOT_RUN and self.pending.quota_grant is not None:
+            self._context.quota_limiter.refund(self.pending.quota_grant)
         self.state = "ended"
         headers = self._context.codec.headers_for_own_response(self.pending.call.request_id)
         write_refusal(self._responder, refusal, headers)
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -6,7 +6,7 @@
 from skylarkrack._clock import monotonic_ms
 from skylarkrack._errors import Outcome, RequestRefused
 from skylarkrack._events import Event, log
-from skylarkrack.core.relay import PendingRequest, RoutingTable, TableOrganisation
+from skylarkrack.core.relay import PendingRequest, QuotaGrant, RoutingTable, TableOrganisation
 from skylarkrack.relay._caller_check import check_caller, rate_exceeded
 from skylarkrack.relay._codec import IncomingRequest
 from skylarkrack.relay._context import EntryContext
@@ -108,15 +108,19 @@
         pending = check.pending_request()
         check_grace(self._context.grace, pending, now_ms)
         if check.organisation is not None:
-            self._take_quota(check.organisation, check.cost, now_ms)
+            pending.quota_grant = self._take_quota(check.organisation, check.cost, now_ms)
         return pending
 
-    def _take_quota(self, organisation: TableOrganisation, cost: float, now_ms: float) -> None:
+    def _take_quota(
+        self, organisation: TableOrganisation, cost: float, now_ms: float
+    ) -> QuotaGrant:
         """Charge a request to the quota; raises `RateExceeded`."""
         limiter, name = self._context.quota_limiter, organisation.name
-        if not limiter.try_acquire(name, cost, organisation.quota, now_ms):
+        grant = limiter.try_acquire(name, cost, organisation.quota, now_ms)
+        if grant is None:
             wait_ms = limiter.wait_ms(name, organisation.quota)
             raise rate_exceeded(organisation, cost=cost, level=limiter.level(name), wait_ms=wait_ms)
+        return grant
 
     def _refuse(
         self, responder: Responder, refusal: RequestRefused, incoming: IncomingRequest | None
--- a/tests/test_relay_explanation.py
+++ b/tests/test_relay_explanation.py
@@ -181,7 +181,7 @@
             for now_ms in range(0, 4000, 130):
                 level, _ = limiter.peek("singers", quota(), now_ms)
                 was_granted = limiter.try_acquire("singers", 300.0, quota(), now_ms)
-                self.assertEqual(was_granted, level > 0, (is_shared, now_ms))
+                self.assertEqual(was_granted is not None, level > 0, (is_shared, now_ms))
 
 
 class TestFleets(unittest.TestCase):
--- a/tests/test_relay_policy_file.py
+++ b/tests/test_relay_policy_file.py
@@ -77,8 +77,8 @@
             for name in ("n2", "n3"):
                 usage.receive_grants(name, "i", {}, now_ms=0.0)
             limit = quota(rate_per_s=300.0, burst=600.0)
-            granted = sum(usage.try_acquire("singers", 100.0, limit, 0.0) for _ in range(9))
-            self.assertEqual(granted, 3 if is_shared else 1)
+            grants = [usage.try_acquire("singers", 100.0, limit, 0.0) for _ in range(9)]
+            self.assertEqual(9 - grants.count(None), 3 if is_shared else 1)
 
 
 if __name__ == "__main__":
--- a/tests/test_relay_usage.py
+++ b/tests/test_relay_usage.py
@@ -46,7 +46,8 @@
 
     def ask(self, name: str, amount: float, now_ms: float) -> bool:
         """Ask one entry for tokens."""
-        was_granted = self.usage_by_name[name].try_acquire("singers", amount, quota(), now_ms)
+        grant = self.usage_by_name[name].try_acquire("singers", amount, quota(), now_ms)
+        was_granted = grant is not None
         if was_granted:
             self.grants.append((now_ms, amount))
         return was_granted
@@ -123,7 +124,7 @@
 
     def _ask(self, cost: float, now_ms: float) -> None:
         limiter = self.rng.choice(self.limiters)
-        was_granted = limiter.try_acquire("singers", cost, self.quota, now_ms)
+        was_granted = limiter.try_acquire("singers", cost, self.quota, now_ms) is not None
         refill = self.quota.rate_per_s * (now_ms - self._exact_ms) / 1000
         self._exact_level = min(self.quota.burst, self._exact_level + refill)
         self._exact_ms = now_ms
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1481,4 +1481,12 @@
         test="tests.test_http_drain.TestUnsentAnswers"
         ".test_a_stop_waits_until_a_slow_caller_has_its_answer",
     ),
+    Guard(
+        name="relay-quota-nothing-taken",
+        file="core/relay/_quota_limiter.py",
+        code="            amount = 0.0\n",
+        without="            pass\n",
+        test="tests.test_relay_quota_changes.TestEveryChange"
+        ".test_a_request_that_is_given_back_leaves_no_trace",
+    ),
 )
