Answer callers truly when the handling of their request fails

What callers saw: no answer, and no way to know whether a payment had run.

Cause: the server cut the connection of any handler that raised, whatever was known of the request.

A request whose handling fails now gets 503 with "not_run" where that is proved (it was never written to an endpoint, or the endpoint said that it did not run it), 500 "unknown" otherwise, and a cut connection only if its answer had begun. The server's own answer, for handlers that fail beside that, is 500 "unknown". On-call sees HANDLER_FAILED with the request and handlers_failed_total.

Evidence: tests.test_relay_faults lets the entry fail at each stage (quota, decision, retry, refund, answer, first event, end); without the change the callers get no answer, as the guards show.

--- a/src/skylarkrack/relay/_context.py
+++ b/src/skylarkrack/relay/_context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from skylarkrack._burn import BurnMeter
+from skylarkrack._events import Event, log
 from skylarkrack._metrics import Metrics
 from skylarkrack._tasks import Tasks
 from skylarkrack.core import RetryBudget
@@ -43,3 +44,8 @@
         if service not in self.retry_budget_by_service:
             self.retry_budget_by_service[service] = RetryBudget(self.max_retries)
         return self.retry_budget_by_service[service]
+
+    def record_fault(self, error: Exception, request_id: str | None) -> None:
+        """Record that the handling of a request failed by a fault of this program."""
+        log(Event.HANDLER_FAILED, server="callers", request=request_id, error=repr(error))
+        self.metrics.count("handlers_failed_total")
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -19,7 +19,7 @@
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._event_stream import EVENT_END, EventStream
 from skylarkrack.relay._exchange_log import ExchangeLog
-from skylarkrack.relay._refusals import CrashSuspected, write_refusal
+from skylarkrack.relay._refusals import CrashSuspected, internal_error, write_refusal
 from skylarkrack.web import ClientConnection, ClientResponse, Request, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -161,6 +161,14 @@
 
     async def run(self) -> None:
         """Forward the request, and write its response or a refusal to the caller."""
+        try:
+            await self._run()
+        except Exception as error:  # noqa: BLE001 - the caller needs an answer
+            self._context.record_fault(error, self.pending.call.request_id)
+            if not self._responder.has_ended:
+                self._write_refusal(internal_error(self._known_outcome()))
+
+    async def _run(self) -> None:
         try:
             left_ms = self.pending.deadline_ms - monotonic_ms() + RESPONSE_SLACK_MS
             async with asyncio.timeout(max(0.0, left_ms) / 1000):
@@ -195,11 +203,16 @@
             self._connection.close()
 
     def _interruption(self) -> RequestRefused:
-        """Return what is known of a request that the end of the process interrupted."""
-        if self._attempts.runs or not self._is_run_over:
+        """Return the refusal of a request that the end of the process interrupted."""
+        if self._known_outcome() is Outcome.UNKNOWN:
             return RequestRefused(STOP_REASON, code=Code.ENDPOINT_LOST, outcome=Outcome.UNKNOWN)
         return _stop_refusal()
 
+    def _known_outcome(self) -> Outcome:
+        """Return what is known of the request's runs while it has no response."""
+        may_have_run = self._attempts.runs or not self._is_run_over
+        return Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+
     async def _send_until_answered(self) -> None:
         if self._event_stream is not None:
             await self._context.origin_lookup.bind(self.pending)
@@ -580,6 +593,9 @@
         self._log.failed(refusal, self._last_placement, self._attempts, has_begun=has_begun)
         if refusal.outcome is Outcome.NOT_RUN and self.pending.quota_grant is not None:
             self._context.quota_limiter.refund(self.pending.quota_grant)
+        self._write_refusal(refusal)
+
+    def _write_refusal(self, refusal: RequestRefused) -> None:
         self.state = "ended"
         headers = self._context.codec.headers_for_own_response(self.pending.call.request_id)
         write_refusal(self._responder, refusal, headers)
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -11,7 +11,7 @@
 from skylarkrack.relay._codec import IncomingRequest
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._exchange import Exchange, check_grace
-from skylarkrack.relay._refusals import log_fields_of, write_refusal
+from skylarkrack.relay._refusals import internal_error, log_fields_of, write_refusal
 from skylarkrack.web import Request, Responder
 
 
@@ -37,6 +37,10 @@
         except RequestRefused as refusal:
             self._refuse(responder, refusal, incoming)
             return
+        except Exception as error:  # noqa: BLE001 - the caller needs an answer
+            self._context.record_fault(error, incoming and incoming.call.request_id)
+            self._refuse(responder, internal_error(Outcome.NOT_RUN), incoming)
+            return
         exchange = Exchange(self._context, request, responder, pending)
         task = self._context.tasks.spawn(exchange.run())
         responder.on_caller_left = partial(exchange.caller_left, task)
@@ -97,7 +101,7 @@
         return len(open_requests)
 
     def refuse_unreadable(self, responder: Responder, refusal: RequestRefused) -> None:
-        """Refuse a request that could not be parsed."""
+        """Refuse a request that could not be parsed, or whose handler failed."""
         self._refuse(responder, refusal, None)
 
     def _admit(self, request: Request, incoming: IncomingRequest, now_ms: float) -> PendingRequest:
@@ -136,5 +140,4 @@
             **log_fields_of(refusal),
         )
         self._context.metrics.count("refused_total", refusal.code.name.lower())
-        refusal.outcome = Outcome.NOT_RUN
         write_refusal(responder, refusal, self._context.codec.headers_for_own_response(request_id))
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -431,9 +431,25 @@
         except RequestRefused as refusal:
             self._server._refuse(responder, refusal)
         except Exception as error:  # noqa: BLE001 - one failed request must not end the process
-            log(Event.HANDLER_FAILED, server=self._server._name, error=repr(error))
+            self._log_failure(error)
+            self._answer_failure(responder)
+
+    def _answer_failure(self, responder: Responder) -> None:
+        """Answer a request whose handler failed, or cut a response that it had begun."""
+        failure = RequestRefused(
+            "a fault of this program", code=Code.INTERNAL_ERROR, outcome=Outcome.UNKNOWN
+        )
+        try:
+            if not responder.has_started:
+                self._server._refuse(responder, failure)
+        except Exception as error:  # noqa: BLE001 - the connection still has to end
+            self._log_failure(error)
+        if not responder.has_ended:
             responder.cut()
 
+    def _log_failure(self, error: Exception) -> None:
+        log(Event.HANDLER_FAILED, server=self._server._name, error=repr(error))
+
     def _caller_left(self) -> None:
         if self._responder is not None and self._responder.on_caller_left is not None:
             self._responder.on_caller_left()
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1489,4 +1489,25 @@
         test="tests.test_relay_quota_changes.TestEveryChange"
         ".test_a_request_that_is_given_back_leaves_no_trace",
     ),
+    Guard(
+        name="relay-fault-answered",
+        file="relay/_exchange.py",
+        code="                self._write_refusal(internal_error(self._known_outcome()))",
+        without="                raise",
+        test="tests.test_relay_faults.TestFaultsOfTheEntry" ".test_after_an_endpoint_refused_it",
+    ),
+    Guard(
+        name="relay-fault-outcome",
+        file="relay/_exchange.py",
+        code="may_have_run = self._attempts.runs or not self._is_run_over",
+        without="may_have_run = False",
+        test="tests.test_relay_faults.TestFaultsOfTheEntry" ".test_after_it_was_passed_on",
+    ),
+    Guard(
+        name="web-failure-answered",
+        file="web/_server.py",
+        code="                self._server._refuse(responder, failure)",
+        without="                pass",
+        test="tests.test_relay_faults.TestFaultsOfAHandler.test_nothing_was_written",
+    ),
 )
