Pass registrations on again behind a gap in what a reader told

Cause: a reader leaves out a registration that equals what it passed on last, as if every follower still had it. The restored store lacked the workers, so the followers' own listings dropped them. When they registered again, the reader took them for told and marked the step as complete. "Told" was a fact of the sender's past, not of what the step's base holds. It needs no drill: lost history, or steps of another reader in between, make the same gap. Second way, found on the path: an endpoint whose registration ended and began again within one reading of the store was left out too, though a follower may have listed in between. Ruled out: lost messages (a follower that misses one reads the store) and the grace after an outage (all entries dropped the workers rightly, and only the reader took them up again).

What was told is forgotten wherever a step doesn't continue the one before, which already ended the merged steps, and with each end of a registration. So a complete step holds all that differs from its base, whoever lists when. Considered: a digest beside the revision, by which a follower finds out itself; the fields of a step are those of earlier builds.

--- a/src/skylarkrack/core/relay/_store_feed.py
+++ b/src/skylarkrack/core/relay/_store_feed.py
@@ -31,7 +31,8 @@
 class FeedStep:
     """What changed in one era of the store after *base*, up to *revision*.
 
-    Without *is_complete* there were changes that the step does not hold. *versions* are announced
+    Without *is_complete* there were changes that the step does not hold. *removed* are the ids of
+    registrations that ended; one that is in *endpoints* too began again. *versions* are announced
     versions as (model, adapter, version). *restored_ago_ms* is the time since the reader's store
     came back after an outage, or None.
     """
@@ -84,26 +85,30 @@
 
 
 class FeedHistory:
-    """The newest steps of a reader, which it sends as one."""
+    """The newest steps of a reader, which it sends as one.
 
-    __slots__ = ("_sent_by_id", "_steps")
+    A registration that differs from what the steps before told only in fields that change with
+    every heartbeat is left out. That is true only of followers that have what they told, so that
+    nothing is left out behind a gap: after a listing, a restore, or the steps of another reader.
+    """
+
+    __slots__ = ("_steps", "_told_by_id")
 
     def __init__(self) -> None:
         self._steps: deque[FeedStep] = deque(maxlen=REPEATED_STEPS)
-        self._sent_by_id: dict[str, tuple] = {}
+        self._told_by_id: dict[str, tuple] = {}
 
     def add(self, step: FeedStep) -> FeedStep:
-        """Return a step that covers this one and those before it.
-
-        A registration is left out if it differs from the last one only in fields that change with
-        every heartbeat.
-        """
-        changed = tuple(e for e in step.endpoints if self._has_changed(e))
-        for endpoint_id in step.removed:
-            self._sent_by_id.pop(endpoint_id, None)
+        """Return a step that covers this one and those before it."""
         if self._steps and (self._steps[-1].era, self._steps[-1].revision) != (step.era, step.base):
             self._steps.clear()
-        self._steps.append(replace(step, endpoints=changed))
+            self._told_by_id.clear()
+        for endpoint_id in step.removed:
+            self._told_by_id.pop(endpoint_id, None)
+        changed = tuple(e for e in step.endpoints if self._has_changed(e))
+        registered = {endpoint.endpoint_id for endpoint in step.endpoints}
+        ended = tuple(each for each in step.removed if each not in registered)
+        self._steps.append(replace(step, endpoints=changed, removed=ended))
         endpoint_by_id: dict[str, Endpoint] = {}
         removed: dict[str, None] = {}
         for earlier in self._steps:
@@ -130,10 +135,11 @@
             endpoint.slots,
             endpoint.started_ms,
             endpoint.is_leaving,
+            endpoint.software_version,
             # An endpoint that is cold again before its cold time ended has more of it left.
             endpoint.warmup_left_ms // 1000 if endpoint.warmup_left_ms > 0 else -1,
         )
-        if self._sent_by_id.get(endpoint.endpoint_id) == fields:
+        if self._told_by_id.get(endpoint.endpoint_id) == fields:
             return False
-        self._sent_by_id[endpoint.endpoint_id] = fields
+        self._told_by_id[endpoint.endpoint_id] = fields
         return True
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -426,7 +426,6 @@
             if endpoint is not None:
                 self._listener.endpoint_put(endpoint)
                 endpoint_by_id[endpoint_id] = endpoint
-                removed.pop(endpoint_id, None)
         return FeedStep(
             kind=self.kind,
             era=changes.era,
--- a/tests/test_relay_store_feed.py
+++ b/tests/test_relay_store_feed.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import random
 import unittest
+from dataclasses import replace
 
 from skylarkrack.core.relay import (
     FeedHistory,
@@ -16,6 +18,7 @@
     is_reader,
     use_of,
 )
+from skylarkrack.core.relay._store_feed import REPEATED_STEPS
 from skylarkrack.messages import StoreStep
 from skylarkrack.relay._store_feed import StoreFeed
 from skylarkrack.wire import decode, encode_body
@@ -105,11 +108,124 @@
         self.assertEqual(self.history.add(step(7, 9)).base, 7)
         self.assertEqual(self.history.add(step(9, 11, era=2)).base, 9)
 
+    def test_a_registration_counts_again_after_a_listing(self) -> None:
+        # It was left out as told before, though the followers' listings lacked it.
+        gaps = {
+            "the store was restored": step(3, 4, era=2),
+            "history was lost": step(8, 9),
+            "another entry read meanwhile": step(5, 6),
+        }
+        for name, following in gaps.items():
+            with self.subTest(name):
+                history = FeedHistory()
+                history.add(step(0, 3, endpoints=(endpoint("e1"),)))
+                history.add(following)
+                again = step(following.revision, following.revision + 1, era=following.era)
+                merged = history.add(replace(again, endpoints=(endpoint("e1"),)))
+                self.assertEqual([e.endpoint_id for e in merged.endpoints], ["e1"])
+
+    def test_a_registration_that_ended_and_returned_within_a_step_counts(self) -> None:
+        # A follower may have listed the endpoints between the two.
+        self.history.add(step(0, 1, endpoints=(endpoint("e1"),)))
+        for base in range(1, REPEATED_STEPS):
+            self.history.add(step(base, base + 1))
+        base = REPEATED_STEPS
+        again = step(base, base + 2, endpoints=(endpoint("e1"),), removed=("e1",))
+        merged = self.history.add(again)
+        self.assertEqual([e.endpoint_id for e in merged.endpoints], ["e1"])
+        self.assertEqual(merged.removed, ())
+
+    def test_any_followers_know_what_the_store_holds(self) -> None:
+        """Followers list and miss steps at any time, and readers change, list and are restored."""
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                SimulatedFeed(random.Random(seed)).run(self)
+
     def test_one_incomplete_step_makes_the_whole_incomplete(self) -> None:
         self.history.add(step(0, 3, is_complete=False))
         self.assertFalse(self.history.add(step(3, 5)).is_complete)
 
 
+class SimulatedFeed:
+    """A store, two entries that take turns as its reader, and three that follow them."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.era, self.revision = 1, 0
+        # The writes of the era so far, and what older copies of the store hold.
+        self.writes: list[tuple[int, str, bool]] = []
+        self.history_by_reader = {name: FeedHistory() for name in ("n1", "n2")}
+        self.read_by_reader = {"n1": (0, 0), "n2": (0, 0)}
+        self.view_by_follower = {name: (0, 0, set()) for name in ("n3", "n4", "n5")}
+
+    def registered(self) -> set[str]:
+        """Return the endpoints that the store holds."""
+        ids: set[str] = set()
+        for _, endpoint_id, is_put in self.writes:
+            (ids.add if is_put else ids.discard)(endpoint_id)
+        return ids
+
+    def run(self, test: unittest.TestCase) -> None:
+        """Play fifty events; a follower that is as far as the store has to hold what it holds."""
+        for _ in range(50):
+            self.write()
+            event = self.rng.random()
+            if event < 0.06:
+                self.restore()
+            elif event < 0.12:
+                self.read_by_reader[self.rng.choice(["n1", "n2"])] = (0, 0)
+            elif event < 0.2:
+                name = self.rng.choice(list(self.view_by_follower))
+                self.view_by_follower[name] = (0, 0, set())
+            self.read("n1" if self.rng.random() < 0.8 else "n2")
+            for name, (era, revision, ids) in self.view_by_follower.items():
+                if (era, revision) == (self.era, self.revision):
+                    test.assertEqual(ids, self.registered(), name)
+
+    def write(self) -> None:
+        """Register endpoints, mostly again, or end a registration."""
+        for _ in range(self.rng.randrange(3)):
+            self.revision += 1
+            is_put = self.rng.random() < 0.7
+            self.writes.append((self.revision, f"e{self.rng.randrange(4)}", is_put))
+
+    def restore(self) -> None:
+        """Restore the store from an older copy."""
+        self.era += 1
+        self.writes = self.writes[: max(0, len(self.writes) - self.rng.randrange(6))]
+        self.revision = self.writes[-1][0] if self.writes else 0
+
+    def read(self, reader: str) -> None:
+        """Let a reader list, or pass on what changed, which some followers miss."""
+        era, base = self.read_by_reader[reader]
+        self.read_by_reader[reader] = (self.era, self.revision)
+        if era == self.era and base <= self.revision:
+            changes = [write for write in self.writes if write[0] > base]
+            by_id = {endpoint_id: is_put for _, endpoint_id, is_put in changes}
+            merged = self.history_by_reader[reader].add(
+                step(
+                    base,
+                    self.revision,
+                    era=self.era,
+                    endpoints=tuple(endpoint(name) for name, is_put in by_id.items() if is_put),
+                    removed=tuple({name: None for _, name, is_put in changes if not is_put}),
+                )
+            )
+            for name in self.view_by_follower:
+                if self.rng.random() < 0.8:
+                    self.follow(name, merged)
+
+    def follow(self, name: str, merged: FeedStep) -> None:
+        """Let a follower use a step as its watcher does; it lists where it has to read."""
+        era, revision, ids = self.view_by_follower[name]
+        use = use_of(merged, era=era, revision=revision)
+        if use is StepUse.READ:
+            self.view_by_follower[name] = (self.era, self.revision, self.registered())
+        elif use is StepUse.APPLY:
+            ids = ids | {each.endpoint_id for each in merged.endpoints}
+            self.view_by_follower[name] = (era, merged.revision, ids - set(merged.removed))
+
+
 class TestFeed(unittest.IsolatedAsyncioTestCase):
     """A reader's message arrives as the step that it was."""
 
@@ -188,3 +304,15 @@
         await self.watchers[0].close()
         self.platform.remove("servers/i-2")
         await until(lambda: not any(self.knows(number, "i-2") for number in (1, 2, 3)))
+
+    async def test_an_endpoint_that_a_restored_store_lacks_returns_at_all_entries(self) -> None:
+        # Only the reader knew it again: it took the endpoint for one that it had passed on before.
+        copied = self.platform.revision
+        heartbeats = asyncio.create_task(self.keep_changing())
+        self.addCleanup(heartbeats.cancel)
+        self.platform.put("servers/i-2", as_bytes(registration("10.0.0.2:80")))
+        await until(lambda: all(self.knows(number, "i-2") for number in range(4)))
+        self.platform.rewind(copied)
+        await until(lambda: not any(self.knows(n, "i-2") for n in range(4)), seconds=8.0)
+        self.platform.put("servers/i-2", as_bytes(registration("10.0.0.2:80")))
+        await until(lambda: all(self.knows(number, "i-2") for number in range(4)), seconds=8.0)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1510,4 +1510,20 @@
         without="                pass",
         test="tests.test_relay_faults.TestFaultsOfAHandler.test_nothing_was_written",
     ),
+    Guard(
+        name="relay-feed-gap",
+        file="core/relay/_store_feed.py",
+        code="            self._told_by_id.clear()\n",
+        without="",
+        test="tests.test_relay_store_feed.TestHistory"
+        ".test_a_registration_counts_again_after_a_listing",
+    ),
+    Guard(
+        name="relay-feed-ended",
+        file="core/relay/_store_feed.py",
+        code="            self._told_by_id.pop(endpoint_id, None)",
+        without="            pass",
+        test="tests.test_relay_store_feed.TestHistory"
+        ".test_a_registration_that_ended_and_returned_within_a_step_counts",
+    ),
 )
