Bound what one endpoint's bytes cost in a round of the event loop

What callers would see: an entry that does nothing else for seconds, so that requests of all others miss their time.

Cause: each read took 256 KB, and all of it was parsed and handed to a reader that never had to wait. Pieces of one byte made 43,000 events of one read. Two ways to keep bytes without a bound were found beside it: those behind a whole answer whose end its reader had not taken yet, and those after bytes that are no answer, until the reader looked.

A connection now parses 32 events, then goes on in the next round of the loop; a read takes 64 KB. Bytes behind an answer are not read, and a connection ends with the first bytes that are no answer. What had arrived before a reset is still parsed.

Three of the new tests of tests.test_relay_byte_floods fail without the change (4 MB kept behind an answer; no round of the loop while 3,000 pieces are read); the fourth guards what the change could have lost.

--- a/src/skylarkrack/web/_connection.py
+++ b/src/skylarkrack/web/_connection.py
@@ -9,9 +9,16 @@
 
 from skylarkrack._errors import LinkLost
 
-MAX_UNREAD_BYTES = 262_144
+MAX_UNREAD_BYTES = 65_536
 """Bound on buffered bytes of a response; beyond it reading from the socket is paused."""
 
+MAX_UNREAD_EVENTS = 32
+"""Bound on buffered events, which is how many one connection parses in one round of the event loop.
+A server that sends tiny pieces at full speed would otherwise hold up all other connections."""
+
+READ_BYTES = 65_536
+"""Bound on the bytes that one read from the socket returns."""
+
 EVENT_OVERHEAD_BYTES = 256
 """Memory of a buffered event beside its data, which is more than the data of a small chunk."""
 
@@ -34,6 +41,7 @@
         "_events",
         "_h11",
         "_is_paused",
+        "_is_resuming",
         "_is_unusable",
         "_keep_alive_ms",
         "_method",
@@ -55,6 +63,7 @@
         self._error: Exception | None = None
         self._is_unusable = False
         self._is_paused = False
+        self._is_resuming = False
         self._unread_bytes = 0
         self._keep_alive_ms: float | None = None
         self._method = b"GET"
@@ -65,6 +74,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the time-out for acknowledgements if the system supports it."""
         self._transport = transport
+        transport.max_size = READ_BYTES
         connected = transport.get_extra_info("socket")
         if connected is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
             option = socket.TCP_USER_TIMEOUT
@@ -131,6 +141,7 @@
         self._is_unusable = True
         if following:
             self._receive(bytes(following))
+        self._resume()
 
     async def next_head(self, timeout_ms: float) -> h11.Response:
         """Return the head of the response and skip interim ones; raises as `next_event` does."""
@@ -150,8 +161,10 @@
             await self._wait(timeout_ms)
         event = self._events.popleft()
         self._unread_bytes -= _size_of(event)
-        if self._is_paused and self._unread_bytes < MAX_UNREAD_BYTES // 2:
-            self._resume()
+        if self._is_paused and not self._is_resuming and not self._events:
+            # In the next round, so that a reader that never waits lets others go on.
+            self._is_resuming = True
+            asyncio.get_running_loop().call_soon(self._resume)
         return event
 
     def prepare_reuse(self, now_s: float) -> bool:
@@ -168,6 +181,7 @@
     def close(self) -> None:
         """Close the connection at once; bytes that have not been read are discarded."""
         self._is_unusable = True
+        self._is_paused = False
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -175,6 +189,12 @@
             self._transport.abort()
             self._shut_down()
 
+    def give_up(self, reason: str) -> None:
+        """Fail the response in progress and close the connection."""
+        self._fail(ConnectionAbortedError(reason))
+        self._events.clear()
+        self.close()
+
     def _shut_down(self) -> None:
         """Tell the server now; an aborted transport closes its socket in the loop's next round."""
         connected = self._transport.get_extra_info("socket")
@@ -187,29 +207,36 @@
             self._h11.receive_data(data)
             self._parse()
         except (h11.RemoteProtocolError, RuntimeError) as error:
-            self._is_unusable = True
-            self._fail(error)
+            self._fail_parsing(error)
 
     def _resume(self) -> None:
         """Parse what was received before the pause, and read on unless it fills the buffer."""
+        self._is_resuming = False
+        if not self._is_paused:
+            return
         self._is_paused = False
         try:
             self._parse()
         except (h11.RemoteProtocolError, RuntimeError) as error:
-            self._is_unusable = True
-            self._fail(error)
+            self._fail_parsing(error)
         if not self._is_paused and not self._transport.is_closing():
             self._transport.resume_reading()
+        if self._error is not None:
+            self._wake()
 
     def _parse(self) -> None:
         """Parse received bytes until none are left or the buffered events fill the buffer."""
         while True:
-            if self._unread_bytes > MAX_UNREAD_BYTES:
-                self._is_paused = True
-                self._transport.pause_reading()
+            if self._unread_bytes > MAX_UNREAD_BYTES or len(self._events) >= MAX_UNREAD_EVENTS:
+                self._pause()
                 break
             event = self._h11.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.PAUSED:
+                # What follows a whole response belongs to no request, and is not kept.
+                self._is_unusable = True
+                self._pause()
+                break
+            if event is h11.NEED_DATA:
                 break
             if isinstance(event, h11.ConnectionClosed):
                 self._fail(ConnectionResetError("closed before the end"))
@@ -221,21 +248,29 @@
         if self._events:
             self._wake()
 
+    def _pause(self) -> None:
+        self._is_paused = True
+        self._transport.pause_reading()
+
+    def _fail_parsing(self, error: Exception) -> None:
+        """Read nothing more from a server that has sent what is no response."""
+        self._fail(error)
+        self.close()
+
     async def _wait(self, timeout_ms: float) -> None:
-        if self._error is not None:
-            raise LinkLost(f"broken answer: {self._error!r}", sent=True) from self._error
+        """Wait for an event; an error counts only once all that was received is parsed."""
         loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
         self._wait_deadline_s = loop.time() + timeout_ms / 1000
-        if self._timer is None or self._timer.when() > self._wait_deadline_s:
-            self._schedule_check(loop)
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-        if not self._events:
-            error = self._error
-            raise LinkLost(f"broken answer: {error!r}", sent=True) from error
+        while not self._events:
+            if self._error is not None and not self._is_paused:
+                raise LinkLost(f"broken answer: {self._error!r}", sent=True) from self._error
+            self._waiter = loop.create_future()
+            if self._timer is None or self._timer.when() > self._wait_deadline_s:
+                self._schedule_check(loop)
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
 
     def _schedule_check(self, loop: asyncio.AbstractEventLoop) -> None:
         """Schedule a check at the deadline of the wait.
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1526,4 +1526,28 @@
         test="tests.test_relay_store_feed.TestHistory"
         ".test_a_registration_that_ended_and_returned_within_a_step_counts",
     ),
+    Guard(
+        name="web-events-per-round",
+        file="web/_connection.py",
+        code=" or len(self._events) >= MAX_UNREAD_EVENTS",
+        without="",
+        test="tests.test_relay_byte_floods.TestManySmallPieces"
+        ".test_others_go_on_while_they_are_read",
+    ),
+    Guard(
+        name="web-bytes-behind-answer",
+        file="web/_connection.py",
+        code="                self._is_unusable = True\n                self._pause()",
+        without="                pass",
+        test="tests.test_relay_byte_floods.TestManySmallPieces"
+        ".test_bytes_behind_an_answer_are_not_kept",
+    ),
+    Guard(
+        name="web-error-before-end",
+        file="web/_connection.py",
+        code="if self._error is not None and not self._is_paused:",
+        without="if self._error is not None:",
+        test="tests.test_relay_byte_floods.TestManySmallPieces"
+        ".test_a_reset_loses_nothing_that_has_arrived",
+    ),
 )
