Give up an answer that comes in too many pieces

A body of more than 20,000 pieces is given up as lost, which counts against the endpoint; the site files in force have streams of 159 pieces at most. The new test fails without the bound.

--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -25,6 +25,10 @@
 """Default bound on the time to read a body, as a multiple of the longest wait for a piece. A server
 that sends a byte now and then would otherwise be read for ever."""
 
+MAX_BODY_PIECES = 20_000
+"""Bound on the pieces of a body; beyond it `LinkLost` is raised. Each piece costs the same whatever
+its size, so that a body of tiny pieces without end would cost the processor until its deadline."""
+
 MAX_SKIPPED_BYTES = 1_048_576
 """Bound on the bodies of the responses that are skipped; beyond it `LinkLost` is raised."""
 
@@ -58,15 +62,17 @@
     async def iter_body(self, *, timeout_ms: float) -> AsyncIterator[bytes]:
         """Yield the body in pieces, waiting at most *timeout_ms* for each.
 
-        Raises `LinkLost` if the connection fails or a wait times out before the end of the body.
+        Raises `LinkLost` if the connection fails or a wait times out before the end of the body,
+        and for a body of more than `MAX_BODY_PIECES`.
         """
-        while True:
+        for _ in range(MAX_BODY_PIECES + 1):
             event = await self.connection.next_event(timeout_ms)
             if isinstance(event, h11.EndOfMessage):
-                break
+                self._is_done = True
+                self._client.put_back(self.connection)
+                return
             yield bytes(event.data)
-        self._is_done = True
-        self._client.put_back(self.connection)
+        raise LinkLost("an answer in too many pieces", sent=True)
 
     async def read_body(self, *, timeout_ms: float, total_ms: float | None = None) -> bytes:
         """Return the complete body, waiting at most *timeout_ms* for each piece.
--- a/tests/test_relay_byte_floods.py
+++ b/tests/test_relay_byte_floods.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from skylarkrack.web import ClientResponse, HttpClient
+from skylarkrack._errors import LinkLost
+from skylarkrack.web import ClientResponse, HttpClient, _client
 from skylarkrack.web._connection import MAX_UNREAD_EVENTS, READ_BYTES
 from standins.platform_worker import PlatformWorker, Received
 
@@ -57,6 +59,19 @@
         response.connection.connection_lost(ConnectionResetError())
         self.assertEqual(await response.read_body(timeout_ms=5000), b"x" * PIECES)
 
+    async def test_an_answer_in_pieces_without_end_is_given_up(self) -> None:
+        # Each piece costs as much as a large one, and there was no bound on their number.
+        with mock.patch.object(_client, "MAX_BODY_PIECES", 100):
+            for count, is_whole in ((100, True), (101, False)):
+                with self.subTest(count=count):
+                    response = await self.respond(HEAD, b"1\r\nx\r\n" * count, b"0\r\n\r\n")
+                    if is_whole:
+                        self.assertEqual(len(await response.read_body(timeout_ms=5000)), count)
+                    else:
+                        with self.assertRaises(LinkLost):
+                            await response.read_body(timeout_ms=5000)
+                        self.assertFalse(response.connection.is_usable)
+
     async def test_bytes_behind_an_answer_are_not_kept(self) -> None:
         # They were kept without a bound until the answer's end had been read.
         response = await self.respond(HEAD + b"0\r\n\r\n", *[b"x" * READ_BYTES] * 64)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1550,4 +1550,12 @@
         test="tests.test_relay_byte_floods.TestManySmallPieces"
         ".test_a_reset_loses_nothing_that_has_arrived",
     ),
+    Guard(
+        name="web-body-pieces",
+        file="web/_client.py",
+        code="for _ in range(MAX_BODY_PIECES + 1):",
+        without="while True:",
+        test="tests.test_relay_byte_floods.TestManySmallPieces"
+        ".test_an_answer_in_pieces_without_end_is_given_up",
+    ),
 )
