Bound what all messages of an entry hold together

Each answer has a bound of its own, 4 MB, and so has each body of a caller and what a caller does not read, but nothing bounds them together, and a VM may have 160 MB.

The bodies of requests, the answers that are read whole, and what callers have not taken now share a quarter of the VM's memory (`limits.memory-mb`). Beyond it the endpoint that holds most loses its largest answer, as one that sends without end on many connections grows above all others; that counts against the endpoint, so that others are used. A caller's body for which there is no memory is refused at once, 503 and not run, by its stated length. A long answer that ends passes as long as there is room.

--- a/src/skylarkrack/_events.py
+++ b/src/skylarkrack/_events.py
@@ -106,6 +106,7 @@
     STEP_TOO_LARGE = 769
     TASK_FAILED = 770
     EVENT_LOOP_BEHIND = 771
+    MESSAGE_GIVEN_UP = 772
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/skylarkrack/platform/_settings.py
+++ b/src/skylarkrack/platform/_settings.py
@@ -85,6 +85,7 @@
             overshoot=_at_least_0(value_by_key, "bounds.cold-overshoot", ColdMargin().overshoot),
             slack=_at_least_0(value_by_key, "bounds.cold-slack", ColdMargin().slack),
         ),
+        memory_bytes=_at_least_0(value_by_key, "limits.memory-mb", 0.0) * 1e6 or math.inf,
         cancels_on_revocation=value_by_key.get("bounds.strict-revoke") == "true",
     )
     history_s = _at_least_0(value_by_key, "platform.history-s", DEFAULT_HISTORY_MS / 1000)
--- a/src/skylarkrack/relay/_endpoint_clients.py
+++ b/src/skylarkrack/relay/_endpoint_clients.py
@@ -1,7 +1,7 @@
 """HTTP clients of the endpoints, one for each start of an endpoint."""
 
 from skylarkrack.core.relay import Endpoint, EndpointKey
-from skylarkrack.web import HttpClient
+from skylarkrack.web import BufferBudget, HttpClient
 
 MAX_IDLE_PER_ENDPOINT = 24
 """Bounds the idle connections to one endpoint.
@@ -23,11 +23,15 @@
 
 
 class EndpointClients:
-    """HTTP clients by endpoint key, that is, by address and start time."""
+    """HTTP clients by endpoint key, that is, by address and start time.
 
-    __slots__ = ("_client_by_key", "_max_idle_by_service")
+    *budget* bounds the answers that are being read.
+    """
+
+    __slots__ = ("_budget", "_client_by_key", "_max_idle_by_service")
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
         self._client_by_key: dict[EndpointKey, HttpClient] = {}
         self._max_idle_by_service: dict[str, int] = {}
 
@@ -39,7 +43,8 @@
         """Return the client of an endpoint; a new one is created on first use."""
         client = self._client_by_key.get(endpoint.key)
         if client is None:
-            client = self._client_by_key[endpoint.key] = HttpClient(endpoint.address)
+            client = HttpClient(endpoint.address, budget=self._budget)
+            self._client_by_key[endpoint.key] = client
         client.max_idle = self._max_idle_by_service.get(endpoint.service, MAX_IDLE_PER_ENDPOINT)
         return client
 
--- a/src/skylarkrack/relay/_entry.py
+++ b/src/skylarkrack/relay/_entry.py
@@ -30,7 +30,7 @@
 from skylarkrack.relay._route_explainer import RouteExplainer
 from skylarkrack.relay._settings import RelaySettings
 from skylarkrack.relay._stream_origin_lookup import StreamOriginLookup
-from skylarkrack.web import Handler, HttpServer, Request, Responder, ServerLimits
+from skylarkrack.web import BufferBudget, Handler, HttpServer, Request, Responder, ServerLimits
 
 READINESS_DELAY_MS = 400.0
 """Time after its start in which a new entry receives its peers' state and is not ready."""
@@ -50,6 +50,9 @@
 LATE_CHECK_MS = 100.0
 """Time between checks, during a planned stop, for waiting requests that can't end in time."""
 
+BUFFER_SHARE = 0.25
+"""Part of the VM's memory that the bodies of requests and answers may take together."""
+
 MAX_CONNECTIONS = 3000
 """Bounds the connections of callers; further ones are refused.
 
@@ -69,6 +72,7 @@
     """
 
     __slots__ = (
+        "_buffer_budget",
         "_caller_server",
         "_config_sync",
         "_context",
@@ -92,13 +96,15 @@
         self._settings = settings
         self._tasks = Tasks()
         policy, metrics = settings.policy, Metrics()
+        self._buffer_budget = BufferBudget(BUFFER_SHARE * settings.memory_bytes)
+        self._buffer_budget.on_give_up = self._record_given_up
         self._dispatcher = Dispatcher(
             domain=settings.domain, policy=policy, cold_margin=settings.cold_margin
         )
         self._context = EntryContext(
             placement_queue=PlacementQueue(self._dispatcher),
             codec=codec,
-            clients=EndpointClients(),
+            clients=EndpointClients(self._buffer_budget),
             metrics=metrics,
             burn=BurnMeter(),
             quota_limiter=QuotaLimiter(is_shared=policy.is_quota_shared),
@@ -322,7 +328,19 @@
 
     def _make_server(self, handler: Handler, name: str, **limits: int) -> HttpServer:
         refuse, server_limits = self._request_handler.refuse_unreadable, ServerLimits(**limits)
-        return HttpServer(handler, refuse=refuse, limits=server_limits, name=name)
+        return HttpServer(
+            handler, refuse=refuse, limits=server_limits, name=name, budget=self._buffer_budget
+        )
+
+    def _record_given_up(self, size: int) -> None:
+        budget = self._buffer_budget
+        log(
+            Event.MESSAGE_GIVEN_UP,
+            bytes=size,
+            total=budget.total_bytes,
+            limit=round(budget.limit_bytes),
+        )
+        self._context.metrics.count("messages_given_up_total")
 
     async def _handle_readiness(self, request: Request, responder: Responder) -> None:
         status = 200 if self.is_ready else 503
--- a/src/skylarkrack/relay/_settings.py
+++ b/src/skylarkrack/relay/_settings.py
@@ -1,5 +1,6 @@
 """Settings of the relaying processes, independent of the file format that they are read from."""
 
+import math
 from dataclasses import dataclass
 
 from skylarkrack.core.relay import ColdMargin, Policy
@@ -16,7 +17,7 @@
     is cut when its key is withdrawn; otherwise it runs to its end. *policy* holds the policies that
     an entry uses. With *passes_on* an entry forwards messages from other failure domains to the
     entries of its own. *cold_margin* is what all entries together may send a cold endpoint beyond
-    its bound.
+    its bound. *memory_bytes* is the memory of the VM.
     """
 
     vm: str
@@ -32,4 +33,5 @@
     cancels_on_revocation: bool = False
     policy: Policy = Policy()
     cold_margin: ColdMargin = ColdMargin()
+    memory_bytes: float = math.inf
     passes_on: bool = True
--- a/src/skylarkrack/web/__init__.py
+++ b/src/skylarkrack/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server and client on `h11`, for callers, endpoints and the platform."""
 
+from skylarkrack.web._buffer_budget import BufferBudget
 from skylarkrack.web._client import ClientResponse, HttpClient
 from skylarkrack.web._connection import ClientConnection
 from skylarkrack.web._server import (
@@ -13,6 +14,7 @@
 )
 
 __all__ = [
+    "BufferBudget",
     "ClientConnection",
     "ClientResponse",
     "Handler",
--- a/src/skylarkrack/web/_client.py
+++ b/src/skylarkrack/web/_client.py
@@ -7,6 +7,7 @@
 
 from skylarkrack._addresses import split_address
 from skylarkrack._errors import LinkLost
+from skylarkrack.web._buffer_budget import BufferBudget, HeldBytes
 from skylarkrack.web._connection import ClientConnection
 
 MAX_IDLE_CONNECTIONS = 8
@@ -82,6 +83,7 @@
         longer or is larger than `MAX_RESPONSE_BODY_BYTES`.
         """
         body = bytearray()
+        held = self._client.hold(self._give_up)
         if total_ms is None:
             total_ms = BODY_TIMEOUT_FACTOR * timeout_ms
         try:
@@ -90,14 +92,20 @@
                     body += data
                     if len(body) > MAX_RESPONSE_BODY_BYTES:
                         raise LinkLost("the answer is too large", sent=True)
+                    held.resize(len(body))
         except TimeoutError as error:
             self.close()
             raise LinkLost("the answer has no end in time", sent=True) from error
         except LinkLost:
             self.close()
             raise
+        finally:
+            held.close()
         return bytes(body)
 
+    def _give_up(self) -> None:
+        self.connection.give_up("the answers take too much memory")
+
     def close(self) -> None:
         """Close the connection if the body was not read to its end."""
         if not self._is_done:
@@ -107,13 +115,21 @@
 class HttpClient:
     """Sends requests to one address; up to *max_idle* idle connections are kept for reuse.
 
-    A lower *max_idle* takes effect as connections become idle.
+    A lower *max_idle* takes effect as connections become idle. *budget* bounds the bodies that are
+    being read together with what else shares it.
     """
 
-    __slots__ = ("_host", "_idle", "_port", "max_idle")
+    __slots__ = ("_budget", "_host", "_idle", "_port", "max_idle")
 
-    def __init__(self, address: str, *, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
+        budget: BufferBudget | None = None,
+    ) -> None:
         self._host, self._port = split_address(address)
+        self._budget = budget or BufferBudget()
         self._idle: list[ClientConnection] = []
         self.max_idle = max_idle
 
@@ -169,6 +185,10 @@
         else:
             connection.close()
 
+    def hold(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Return the bytes of a body that is being read, and that *give_up* drops."""
+        return self._budget.hold((self._host, self._port), give_up=give_up)
+
     def put_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose response was read to its end, or close it if not reusable.
 
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -9,6 +9,7 @@
 from skylarkrack._addresses import split_address
 from skylarkrack._errors import Code, Outcome, RequestRefused
 from skylarkrack._events import Event, log
+from skylarkrack.web._buffer_budget import BufferBudget
 
 READ_BYTES = 65_536
 """Bound on the bytes that one read from a connection returns."""
@@ -22,6 +23,9 @@
 MAX_UNSENT_BYTES = 4_194_304
 """Bound on bytes buffered for a caller that does not read; beyond it the connection is aborted."""
 
+NO_ROOM_RETRY_AFTER_MS = 500
+"""Retry-after of a request for whose body there is no memory; others end within that time."""
+
 # A request that repeats one of these headers is refused as malformed.
 _SINGLE_HEADERS = (b"host", b"content-length", b"transfer-encoding", b"authorization")
 _SINGLE_HEADERS += (b"idempotency-key", b"idempotency-ticket", b"content-type")
@@ -117,6 +121,7 @@
         "_connection",
         "_has_ended",
         "_may_keep_alive",
+        "_on_unsent",
         "_pending_chunks",
         "_reader",
         "_writer",
@@ -131,7 +136,9 @@
         writer: asyncio.StreamWriter,
         *,
         may_keep_alive: Callable[[], bool],
+        on_unsent: Callable[[int], None],
     ) -> None:
+        self._on_unsent = on_unsent
         self._connection = connection
         self._reader = reader
         self._writer = writer
@@ -205,7 +212,9 @@
             return
         data, self._pending_chunks = b"".join(self._pending_chunks), []
         self._writer.write(data)
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        unsent = self._writer.transport.get_write_buffer_size()
+        self._on_unsent(unsent)
+        if unsent > MAX_UNSENT_BYTES:
             self._reader.close_reason = "the caller does not read its response"
             self._writer.transport.abort()
 
@@ -218,10 +227,11 @@
     """Passes each request to *handler*, within *limits*.
 
     *refuse* answers requests that the server or *handler* refuses. *name* identifies the server in
-    the log.
+    the log. *budget* bounds the bodies of requests and the unsent parts of responses.
     """
 
     __slots__ = (
+        "_budget",
         "_connections",
         "_handler",
         "_is_close_announced",
@@ -233,8 +243,15 @@
     )
 
     def __init__(
-        self, handler: Handler, *, refuse: RefusalWriter, limits: ServerLimits, name: str
+        self,
+        handler: Handler,
+        *,
+        refuse: RefusalWriter,
+        limits: ServerLimits,
+        name: str,
+        budget: BufferBudget | None = None,
     ) -> None:
+        self._budget = budget or BufferBudget()
         self._handler = handler
         self._refuse = refuse
         self._limits = limits
@@ -328,6 +345,7 @@
             # The connection counts until its last response is sent, also in a planned stop.
             await self._wait_until_sent(writer)
             self._connections.discard(connection)
+            connection.release()
 
 
 class _Connection:
@@ -337,8 +355,10 @@
         "_h11",
         "_has_dropped_bytes",
         "_reader",
+        "_request_held",
         "_responder",
         "_server",
+        "_unsent_held",
         "_writer",
     )
 
@@ -352,6 +372,10 @@
         self._writer = writer
         self._h11 = self._new_parser()
         self._has_dropped_bytes = False
+        self._request_held = server._budget.hold(self)
+        self._unsent_held = server._budget.hold(
+            self, give_up=self._give_up_unsent, measure=writer.transport.get_write_buffer_size
+        )
 
     def _new_parser(self) -> h11.Connection:
         head_bytes = self._server._limits.head_bytes
@@ -377,6 +401,15 @@
             self._reader.close_reason = "no request was in progress at a planned stop"
             self._writer.close()
 
+    def release(self) -> None:
+        """Record that the connection holds nothing any more."""
+        self._request_held.close()
+        self._unsent_held.close()
+
+    def _give_up_unsent(self) -> None:
+        self._reader.close_reason = "what callers do not read takes too much memory"
+        self._writer.transport.abort()
+
     def abort(self) -> None:
         """Close the connection at once; pending bytes are discarded."""
         self._reader.close_reason = "the server closes"
@@ -402,9 +435,11 @@
             self._reader,
             self._writer,
             may_keep_alive=lambda: not self._server.is_closing,
+            on_unsent=self._unsent_held.resize,
         )
         self._responder = responder
         await self._handle(request, responder)
+        self._request_held.resize(0)
         # Without this, responder and handler would refer to each other until a garbage collection.
         self._responder = responder.on_caller_left = None
         if not responder.has_ended or self._has_dropped_bytes or not self._start_next_cycle():
@@ -492,6 +527,7 @@
         if head is None:
             return None
         self._check_head(head)
+        self._check_room(_length_of(head))
         body = bytearray()
         while True:
             event = await self._next_event()
@@ -502,6 +538,8 @@
             body += event.data
             if len(body) > limits.body_bytes:
                 raise RequestRefused("the body is too large", code=Code.BODY_TOO_LARGE)
+            self._check_room(len(body))
+            self._request_held.resize(len(body))
         return Request(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii"),
@@ -509,6 +547,15 @@
             body=bytes(body),
         )
 
+    def _check_room(self, size: int) -> None:
+        """Raise `RequestRefused` if there is no memory for a body of *size* bytes."""
+        if not self._request_held.has_room(size):
+            raise RequestRefused(
+                "the requests of others take the memory",
+                code=Code.QUEUE_FULL,
+                retry_after_ms=NO_ROOM_RETRY_AFTER_MS,
+            )
+
     def _check_head(self, head: h11.Request) -> None:
         check_head(head, self._server._limits)
         if self._h11.they_are_waiting_for_100_continue:
@@ -563,7 +610,13 @@
         log(Event.BAD_CALLER, server=self._server._name, code=int(refusal.code))
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(self._h11, self._reader, self._writer, may_keep_alive=lambda: False)
+        responder = Responder(
+            self._h11,
+            self._reader,
+            self._writer,
+            may_keep_alive=lambda: False,
+            on_unsent=self._unsent_held.resize,
+        )
         self._server._refuse(responder, refusal)
 
 
@@ -571,6 +624,11 @@
     return RequestRefused(reason, code=code or Code.MALFORMED_HTTP, outcome=Outcome.NOT_RUN)
 
 
+def _length_of(head: h11.Request) -> int:
+    """Return the length of the body that a head states, or 0."""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+
+
 def check_head(head: h11.Request, limits: ServerLimits) -> None:
     """Raise `RequestRefused` for a head that two readers may understand differently, or that is
     above the limits."""
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import socket
 from collections.abc import Iterator
 
@@ -99,6 +100,7 @@
         started_ms: int = 1000,
         status: str | None = None,
         history: RegistryHistory | None = None,
+        memory_bytes: float = math.inf,
     ) -> None:
         self.workers = workers
         self._started_ms = started_ms
@@ -116,6 +118,7 @@
             readiness="127.0.0.1:0",
             status=status,
             cancels_on_revocation=cancels_on_revocation,
+            memory_bytes=memory_bytes,
         )
         self.peers = settings.peers
         self.entry = RelayEntry(settings, codec=PlatformCodec(), incarnation=vm)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1558,4 +1558,28 @@
         test="tests.test_relay_byte_floods.TestManySmallPieces"
         ".test_an_answer_in_pieces_without_end_is_given_up",
     ),
+    Guard(
+        name="web-budget-answers",
+        file="web/_client.py",
+        code="held.resize(len(body))",
+        without="pass",
+        test="tests.test_buffer_budget.TestAnswersWithoutEnd"
+        ".test_they_take_no_more_than_the_budget",
+    ),
+    Guard(
+        name="web-budget-requests",
+        file="web/_server.py",
+        code="if not self._request_held.has_room(size):",
+        without="if False:",
+        test="tests.test_buffer_budget.TestCallers"
+        ".test_bodies_for_which_there_is_no_memory_are_refused",
+    ),
+    Guard(
+        name="web-budget-source",
+        file="web/_buffer_budget.py",
+        code="(size_by_source[e.source], e.size)",
+        without="e.size",
+        test="tests.test_buffer_budget.TestChoice"
+        ".test_the_source_that_holds_most_loses_its_largest",
+    ),
 )
