Let the soak restore the store, change a quota and send answers without end

After the recovery every entry knows every endpoint and gives that organisation an answer. The new parts have generators of their own, so that the faults of a seed stay the same.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -9,7 +9,7 @@
 from collections import Counter
 
 from skylarkrack.web import HttpServer, Request, Responder, ServerLimits
-from soak.guarantees import GuaranteeChecker
+from soak.guarantees import VISITORS, GuaranteeChecker
 
 MODEL = "base"
 ADAPTER_SLOTS = 4
@@ -20,6 +20,9 @@
 REFUSED_RATIO = 0.04
 """Ratio of the plain requests that a service refuses as if it were full."""
 
+ENDLESS_RATIO = 0.02
+"""Ratio of the lookups that a service answers with tiny pieces without end."""
+
 BROKEN_RATIO = 0.05
 BROKEN_AFTER_EVENTS = 3
 """Ratio of the resumable streams that break off, and after how many events."""
@@ -62,6 +65,8 @@
         self.domain = "z" + name[-1]
         self.is_faulty = True
         self._random = random.Random(name)
+        # A generator of its own: with a shared one, the refusals of a seed would change.
+        self._endless_random = random.Random(name)
         self._server = self._new_server()
 
     def _new_server(self) -> HttpServer:
@@ -111,7 +116,8 @@
             request_id, is_repeatable=is_repeatable, headers=headers, now_s=now_s
         )
         tokens = sum(float(count) for count in headers.get("x-token-count", "200,0").split(","))
-        self.checker.record_tokens(tokens, now_s)
+        if headers.get("x-tenant") != VISITORS:
+            self.checker.record_tokens(tokens, now_s)
 
     def is_chosen(self, ratio: float) -> bool:
         """Return whether a fault that befalls this ratio of requests befalls the next one."""
@@ -147,8 +153,16 @@
         if self.is_chosen(REFUSED_RATIO):
             self.refuse(request, responder, 503)
             return
-        self.begin_run(request, is_repeatable=request.path.startswith("/look/"))
+        is_lookup = request.path.startswith("/look/")
+        self.begin_run(request, is_repeatable=is_lookup)
         await asyncio.sleep(PLAIN_RUN_S)
+        if is_lookup and self.is_faulty and self._endless_random.random() < ENDLESS_RATIO:
+            responder.start(200, self.proof_headers(request))
+            while not responder.has_caller_left:
+                for _ in range(100):
+                    responder.send(b"x")
+                await asyncio.sleep(0.001)
+            return
         responder.respond(
             200, self.proof_headers(request), b"done " + self.proof_headers(request)[0][1]
         )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from soak.endpoints import ADAPTER_SLOTS, MODEL, Endpoint, Engine, PlainService
-from soak.guarantees import GuaranteeChecker
+from soak.guarantees import VISITORS, GuaranteeChecker
 from soak.proxy import Proxy
 from standins._lifeline import kill_on_parent_exit
 from standins.platform_store import PlatformStore
@@ -24,6 +24,7 @@
 RATE_TOKENS_PER_S, BURST_TOKENS = 12_000, 12_000
 RESTART_DELAY_S = 0.3
 KEYS = ("key-one", "key-two")
+VISITORS_KEY = "key-visitors"
 
 
 @dataclass(slots=True)
@@ -68,6 +69,9 @@
         self.proxies: list[Proxy] = []
         self.keys = set(KEYS)
         self.config_version = 0
+        self.visitors_rate_per_s = 0.0
+        self.evacuated_domains: set[str] = set()
+        self._registered_by_name: dict[str, tuple[Endpoint, str, str]] = {}
         self._entry_count = entries
         self._folder = folder
         self._supervisor_tasks: list[asyncio.Task] = []
@@ -138,7 +142,14 @@
                     "api-keys": sorted(self.keys),
                     "rate-per-s": RATE_TOKENS_PER_S,
                     "burst": BURST_TOKENS,
-                }
+                },
+                {
+                    **tenant,
+                    "name": VISITORS,
+                    "api-keys": [VISITORS_KEY],
+                    "rate-per-s": self.visitors_rate_per_s,
+                    "burst": self.visitors_rate_per_s,
+                },
             ],
         }
         self.store.put("op/config", json.dumps(document).encode())
@@ -146,8 +157,39 @@
     def register(self, endpoint: Endpoint, service: str, address: str) -> None:
         """Write the registration of an endpoint to the store; *address* may be that of a proxy."""
         key = f"servers/{endpoint.name}"
+        self._registered_by_name[endpoint.name] = (endpoint, service, address)
         self.store.put(key, endpoint.registration(service, address))
 
+    def register_again(self) -> None:
+        """Write all registrations again, as endpoints do after a loss of the store's data."""
+        for endpoint, service, address in list(self._registered_by_name.values()):
+            self.register(endpoint, service, address)
+
+    def evacuate(self, domain: str) -> None:
+        """Begin the evacuation of a failure domain."""
+        self.evacuated_domains.add(domain)
+        self.store.put(f"op/evacuate/{domain}", b"{}")
+
+    def end_evacuation(self, domain: str) -> None:
+        """End the evacuation of a failure domain."""
+        self.evacuated_domains.discard(domain)
+        self.store.remove(f"op/evacuate/{domain}")
+
+    def restore_store(self, revision: int) -> None:
+        """Restore the store from an older copy; the operator writes again what it lacks.
+
+        Registrations are missing until `register_again`.
+        """
+        self.store.rewind(revision)
+        self.publish()
+        for domain in self.evacuated_domains:
+            self.store.put(f"op/evacuate/{domain}", b"{}")
+
+    async def add_service(self, number: int) -> None:
+        """Start and register another plain service, which no proxy stands before."""
+        plain_service = PlainService(f"i-d{number}", f"127.9.2.{number}:8100", self.checker)
+        await self._add_endpoint(plain_service, "desk", plain_service.address)
+
     async def _add_endpoint(self, endpoint: Endpoint, service: str, address: str) -> None:
         await endpoint.start()
         self.endpoints.append(endpoint)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 
 KEY_HEADER = "authorization"
+VISITORS = "visitors"
+"""An organisation whose quota changes, so that its rate isn't checked."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that state that a request has not run."""
 
@@ -42,6 +45,7 @@
     `limit_by_endpoint` holds the requests a second that endpoints accept and since when; what they
     got by then is not counted. `evacuated_s_by_domain` holds since when the entries
     can know of an evacuation; a fault that may keep it from one of them restarts the time.
+    `visitor_ids` holds the requests of the organisation `VISITORS`.
     """
 
     rate_per_s: float
@@ -56,6 +60,7 @@
     limit_by_endpoint: dict[str, tuple[float, float]] = field(default_factory=dict)
     arrivals_by_endpoint: dict[str, list[float]] = field(default_factory=dict)
     evacuated_s_by_domain: dict[str, float] = field(default_factory=dict)
+    visitor_ids: set[str] = field(default_factory=set)
 
     def restart_endpoint(self, endpoint: str, now_s: float) -> None:
         """Record a new start of an endpoint: its answers name the limit for the first time."""
@@ -106,7 +111,8 @@
             self.violations.append(f"{request_id} ran after it was refused as not run")
         if KEY_HEADER in headers:
             self.violations.append(f"{request_id}: an endpoint saw the key")
-        if headers.get("x-tenant") != "singers":
+        organisation = VISITORS if request_id in self.visitor_ids else "singers"
+        if headers.get("x-tenant") != organisation:
             self.violations.append(f"{request_id} ran for {headers.get('x-tenant')}")
 
     def record_tokens(self, tokens: float, now_s: float) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,7 +28,7 @@
     events_for,
     stream_bodies,
 )
-from soak.fleet import CONTROL_PORT, Fleet, Machine
+from soak.fleet import CONTROL_PORT, PLAIN_SERVICES, VISITORS_KEY, Fleet, Machine
 from soak.guarantees import REVOCATION_LIMIT_S
 from soak.proxy import Fault
 
@@ -78,6 +78,14 @@
 
 ODD_ENTRY_INTERVAL_S = 0.7
 
+VISITORS_RATES_PER_S = (0.0, 300.0, 100_000.0)
+"""Quotas that an organisation gets in turn, in tokens a second; 0 is no limit."""
+
+RESTORE_AFTER_S = (1.0, 4.0)
+COPY_AGE_S = (0.5, 2.0)
+REGISTERED_AGAIN_S = 1.8
+"""When the store is restored from a copy, how old that is, and when the endpoints are back."""
+
 
 async def wait_until_served(machine: Machine) -> None:
     """Wait until an entry serves a plain request.
@@ -115,6 +123,8 @@
         self._callers_random = random.Random(seed)
         self._limits_random = random.Random(seed)
         self._evacuations_random = random.Random(seed)
+        self._restore_random = random.Random(seed)
+        self._quotas_random = random.Random(seed)
         self._taken_up: Counter[int] = Counter()
         self._request_count = 0
         self._faults_ended = False
@@ -130,14 +140,19 @@
             limits = asyncio.create_task(self._limit_endpoints())
             evacuation = asyncio.create_task(self._evacuate_domain())
             odd_entries = asyncio.create_task(self._write_odd_entries())
+            restore = asyncio.create_task(self._restore_store())
+            quotas = asyncio.create_task(self._change_quotas())
+            visitors = asyncio.create_task(self._call_forever(CALLERS, keys=(VISITORS_KEY,)))
             await self._inject_faults()
             odd_entries.cancel()
+            await restore
+            await quotas
             for endpoint in self.fleet.endpoints:
                 endpoint.is_faulty = False
             await evacuation
             self._faults_ended = True
             await limits
-            await asyncio.wait(callers)
+            await asyncio.wait([*callers, visitors])
             await self._check_recovery()
         finally:
             await self.fleet.close()
@@ -159,7 +174,9 @@
         for machine in self.fleet.entries:
             await wait_until_served(machine)
 
-    async def _call_forever(self, number: int) -> None:
+    async def _call_forever(
+        self, number: int, *, keys: tuple[str, ...] = ("key-one", "key-two")
+    ) -> None:
         """Send requests until the faults end.
 
         As callers do, it keeps a connection until it fails. Before a tenth of the requests it opens
@@ -171,7 +188,7 @@
                 machine = self._callers_random.choice(self.fleet.entries)
                 client = HttpClient(f"{machine.ip}:{machine.front_address[1]}")
             kind = self._callers_random.choice(("chat", "chat", "draft", "look", "pay"))
-            key = self._callers_random.choice(("key-one", "key-two"))
+            key = self._callers_random.choice(keys)
             if self._callers_random.random() < LEAVING_RATIO:
                 await self._send_and_leave(machine, kind, key)
             elif self._callers_random.random() < TAKE_UP_RATIO:
@@ -291,6 +308,8 @@
         """Return the id and the headers of the next request."""
         self._request_count += 1
         request_id = f"r{self._request_count}"
+        if key == VISITORS_KEY:
+            self.fleet.checker.visitor_ids.add(request_id)
         headers = [
             (b"host", b"a.example"),
             (b"x-attempt-id", request_id.encode()),
@@ -371,7 +390,7 @@
         rng, loop = self._evacuations_random, asyncio.get_running_loop()
         domain = rng.choice(self.fleet.endpoints).domain
         await asyncio.sleep(rng.uniform(0.0, 1.0))
-        self.fleet.store.put(f"op/evacuate/{domain}", b"{}")
+        self.fleet.evacuate(domain)
         since_s = max(loop.time(), self._store_fault_until_s)
         self.fleet.checker.evacuated_s_by_domain[domain] = since_s
         checker = self.fleet.checker
@@ -382,13 +401,38 @@
                 break
             await asyncio.sleep(end_s - loop.time())
         del checker.evacuated_s_by_domain[domain]
-        self.fleet.store.remove(f"op/evacuate/{domain}")
+        self.fleet.end_evacuation(domain)
 
     async def _write_odd_entries(self) -> None:
         for key, value in itertools.cycle(ODD_ENTRIES):
             self.fleet.store.put(key, value)
             await asyncio.sleep(ODD_ENTRY_INTERVAL_S)
 
+    async def _restore_store(self) -> None:
+        """Restore the store from a copy that lacks an endpoint, which registers again."""
+        rng = self._restore_random
+        await asyncio.sleep(rng.uniform(*RESTORE_AFTER_S))
+        revision = self.fleet.store.revision
+        await self.fleet.add_service(PLAIN_SERVICES + 1)
+        await asyncio.sleep(rng.uniform(*COPY_AGE_S))
+        self.fleet.restore_store(revision)
+        self._store_fault_until_s = max(
+            self._store_fault_until_s, asyncio.get_running_loop().time() + REGISTERED_AGAIN_S
+        )
+        await asyncio.sleep(REGISTERED_AGAIN_S)
+        self.fleet.register_again()
+
+    async def _change_quotas(self) -> None:
+        """Set, lift, lower and raise the quota of one organisation, and lift it in the end."""
+        rng, loop = self._quotas_random, asyncio.get_running_loop()
+        end_s = loop.time() + FAULT_PHASE_S
+        while loop.time() < end_s:
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+            self.fleet.visitors_rate_per_s = rng.choice(VISITORS_RATES_PER_S)
+            self.fleet.publish()
+        self.fleet.visitors_rate_per_s = 0.0
+        self.fleet.publish()
+
     def _pick_machine(self) -> Machine:
         return self._random.choice(self.fleet.machines)
 
@@ -457,12 +501,18 @@
         `MIN_RECOVERED_RATIO` of probes succeed, and each entry serves by the newest configuration.
         """
         await asyncio.sleep(RECOVERY_S)
+        names = sorted(endpoint.name for endpoint in self.fleet.endpoints)
         for machine in self.fleet.entries:
-            version = await self._configuration_of(machine)
+            state = await self._state_of(machine)
+            version, known = state.get("table"), sorted(state.get("endpoints", ()))
             if version != self.fleet.config_version:
                 self.fleet.checker.violations.append(
                     f"{machine.name} has configuration {version}, not {self.fleet.config_version}"
                 )
+            if known != names:
+                self.fleet.checker.violations.append(f"{machine.name} knows {known}, not {names}")
+            if await self._send_and_check(machine, "pay", VISITORS_KEY) == 0:
+                self.fleet.checker.violations.append(f"{machine.name} gave a visitor no answer")
         served_count = 0
         for number in range(PROBES):
             machine = self.fleet.entries[number % len(self.fleet.entries)]
@@ -482,14 +532,14 @@
                 f"{served_count} of {PROBES} served after the recovery"
             )
 
-    async def _configuration_of(self, machine: Machine) -> int | None:
-        """Return the version of the configuration in force at an entry; None without an answer."""
+    async def _state_of(self, machine: Machine) -> dict:
+        """Return what an entry says of its state; empty without an answer."""
         client = HttpClient(f"{machine.ip}:{CONTROL_PORT}")
         try:
             response = await client.request("GET", "/state", timeout_ms=ANSWER_TIMEOUT_MS)
-            return json.loads(await response.read_body(timeout_ms=ANSWER_TIMEOUT_MS))["table"]
+            return json.loads(await response.read_body(timeout_ms=ANSWER_TIMEOUT_MS))
         except LinkLost:
-            return None
+            return {}
         finally:
             client.close()
 
