Tell an entry that restarted unnoticed what it no longer knows

What endpoints saw: one that names 1.15 requests a second got 18 in 4 s, 11 allowed.

The others took it for the member that it was and told it nothing of the limit, nor of leaving endpoints, evacuations, bounds and suspect segments, so it granted permits as if there were no limit.

The state that entries send names their incarnation. A new one of a known entry is now told all that a new member is told.

Evidence: tests.test_relay_restarted_member fails without the change (the limit is unknown there after 1.5 s). In _store_feed a field has its old name again.

--- a/src/skylarkrack/core/relay/_entry_incarnations.py
+++ b/src/skylarkrack/core/relay/_entry_incarnations.py
@@ -1,4 +1,4 @@
-"""Which incarnation of each entry an agent listens to.
+"""Which incarnation of each entry a process listens to.
 
 Datagrams overtake each other. One that a process sent before it stopped, or before the next process
 of the same VM started, must not be taken for the demand of a live entry.
@@ -32,6 +32,11 @@
             self._live_by_vm[vm] = incarnation
         return True
 
+    def is_restart(self, vm: str, incarnation: str) -> bool:
+        """Return whether another incarnation of the entry was live, and record this one."""
+        before = self._live_by_vm.get(vm, incarnation)
+        return self.accepts(vm, incarnation) and before != incarnation
+
     def stop(self, vm: str, incarnation: str) -> bool:
         """Record that an incarnation stopped; return whether it was the live one, or unknown.
 
--- a/src/skylarkrack/core/relay/_store_feed.py
+++ b/src/skylarkrack/core/relay/_store_feed.py
@@ -87,24 +87,24 @@
 class FeedHistory:
     """The newest steps of a reader, which it sends as one.
 
-    A registration that differs from what the steps before told only in fields that change with
-    every heartbeat is left out. That is true only of followers that have what they told, so that
-    nothing is left out behind a gap: after a listing, a restore, or the steps of another reader.
+    A registration is left out if it differs from the one that was sent last only in fields that
+    change with every heartbeat. Followers know it only if they have all steps since, so nothing is
+    left out behind a gap: after a listing, a restore, or the steps of another reader.
     """
 
-    __slots__ = ("_steps", "_told_by_id")
+    __slots__ = ("_sent_by_id", "_steps")
 
     def __init__(self) -> None:
         self._steps: deque[FeedStep] = deque(maxlen=REPEATED_STEPS)
-        self._told_by_id: dict[str, tuple] = {}
+        self._sent_by_id: dict[str, tuple] = {}
 
     def add(self, step: FeedStep) -> FeedStep:
         """Return a step that covers this one and those before it."""
         if self._steps and (self._steps[-1].era, self._steps[-1].revision) != (step.era, step.base):
             self._steps.clear()
-            self._told_by_id.clear()
+            self._sent_by_id.clear()
         for endpoint_id in step.removed:
-            self._told_by_id.pop(endpoint_id, None)
+            self._sent_by_id.pop(endpoint_id, None)
         changed = tuple(e for e in step.endpoints if self._has_changed(e))
         registered = {endpoint.endpoint_id for endpoint in step.endpoints}
         ended = tuple(each for each in step.removed if each not in registered)
@@ -139,7 +139,7 @@
             # An endpoint that is cold again before its cold time ended has more of it left.
             endpoint.warmup_left_ms // 1000 if endpoint.warmup_left_ms > 0 else -1,
         )
-        if self._told_by_id.get(endpoint.endpoint_id) == fields:
+        if self._sent_by_id.get(endpoint.endpoint_id) == fields:
             return False
-        self._told_by_id[endpoint.endpoint_id] = fields
+        self._sent_by_id[endpoint.endpoint_id] = fields
         return True
--- a/src/skylarkrack/relay/_gossip.py
+++ b/src/skylarkrack/relay/_gossip.py
@@ -22,6 +22,7 @@
     EndpointLoad,
     EngineState,
     EngineStateReceived,
+    EntryIncarnations,
     OutcomeCounts,
     ProcessContact,
     broadcast_interval_ms,
@@ -109,6 +110,7 @@
         "_demand_sent_ms_by_key",
         "_full_sent_ms",
         "_has_announced_stop",
+        "_entry_incarnations",
         "_incarnation",
         "_last_complete_grants",
         "_last_received_by_endpoint",
@@ -138,6 +140,7 @@
         self._context = context
         self._config_sync = config_sync
         self._incarnation = incarnation
+        self._entry_incarnations = EntryIncarnations()
         self._peers = Peers(settings, ENTRY, on_message=self._on_message, on_join=self._on_join)
         self.feed = StoreFeed(
             self._peers.own,
@@ -269,6 +272,17 @@
                 log(Event.ENDPOINT_LEAVING, address=address, started_ms=started_ms, peer=message.vm)
 
     def _receive_state(self, message: RelayState, now_ms: float) -> None:
+        if self._entry_incarnations.is_restart(message.vm, message.incarnation):
+            # It was back before anybody missed it, and knows nothing of what was told before.
+            contact = ProcessContact(
+                vm=message.vm,
+                address=message.address,
+                role=ENTRY,
+                domain=message.domain,
+                passes_on=message.passes_on,
+            )
+            log(Event.MEMBER_SEEN, vm=contact.vm, role=contact.role, address=contact.address)
+            self._on_join(contact)
         self._config_sync.fetch_if_newer(message.status, message.table_version, message.announced)
         self._context.quota_limiter.receive_grants(
             message.vm,
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1513,7 +1513,7 @@
     Guard(
         name="relay-feed-gap",
         file="core/relay/_store_feed.py",
-        code="            self._told_by_id.clear()\n",
+        code="            self._sent_by_id.clear()\n",
         without="",
         test="tests.test_relay_store_feed.TestHistory"
         ".test_a_registration_counts_again_after_a_listing",
@@ -1521,7 +1521,7 @@
     Guard(
         name="relay-feed-ended",
         file="core/relay/_store_feed.py",
-        code="            self._told_by_id.pop(endpoint_id, None)",
+        code="            self._sent_by_id.pop(endpoint_id, None)",
         without="            pass",
         test="tests.test_relay_store_feed.TestHistory"
         ".test_a_registration_that_ended_and_returned_within_a_step_counts",
@@ -1582,4 +1582,11 @@
         test="tests.test_buffer_budget.TestChoice"
         ".test_the_source_that_holds_most_loses_its_largest",
     ),
+    Guard(
+        name="relay-restart-told",
+        file="relay/_gossip.py",
+        code="if self._entry_incarnations.is_restart(message.vm, message.incarnation):",
+        without="if False:",
+        test="tests.test_relay_restarted_member.TestRestart" ".test_it_is_told_of_limits_again",
+    ),
 )
