Let a test of a rewind compare the registrations' notifications only

`tests.test_platform_store.TestWatcher.test_a_rewind_during_a_watch_causes_a_new_listing` failed once beside two soaks while the code was read again. Traced, not run again until green: after a rewind two watches list anew, and the test took the registrations' listing for the last notification of both. Where the publications' came later, the last one was ("table", 3).

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -319,7 +319,11 @@
         self.platform.put("servers/i-3", as_bytes(registration("10.0.0.3:80")))
         await self.listener.wait_until_recorded("put", "i-3", False)
         await self.rewind(revision)
-        self.assertEqual(self.listener.notifications[-1], ("listed", ["i-1"], ["i-2"]))
+        notifications = self.listener.notifications
+        following = notifications[notifications.index(("rewound",)) + 1 :]
+        # The publications are listed again by a watch of their own, sooner or later than these.
+        of_registrations = [each for each in following if each[0] not in ("evacuations", "table")]
+        self.assertEqual(of_registrations, [("listed", ["i-1"], ["i-2"])])
 
     async def test_revisions_that_are_given_out_again_hide_no_change(self) -> None:
         """A process that was frozen across the rewind has a revision that exists again."""
