Check withdrawn keys in the soak also around a restore of the store

No trace called for it: the store answers all the while, and the configuration and the evacuation are written again at once.

--- a/soak/run.py
+++ b/soak/run.py
@@ -416,9 +416,6 @@
         await self.fleet.add_service(PLAIN_SERVICES + 1)
         await asyncio.sleep(rng.uniform(*COPY_AGE_S))
         self.fleet.restore_store(revision)
-        self._store_fault_until_s = max(
-            self._store_fault_until_s, asyncio.get_running_loop().time() + REGISTERED_AGAIN_S
-        )
         await asyncio.sleep(REGISTERED_AGAIN_S)
         self.fleet.register_again()
 
