--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -182,8 +182,8 @@
         """
         self.store.rewind(revision)
         self.publish()
-        for domain in self.evacuated_domains:
-            self.store.put(f"op/evacuate/{domain}", b"{}")
+        for domain in list(self.evacuated_domains):
+            self.evacuate(domain)
 
     async def add_service(self, number: int) -> None:
         """Start and register another plain service, which no proxy stands before."""
--- a/src/skylarkrack/_errors.py
+++ b/src/skylarkrack/_errors.py
@@ -144,6 +144,12 @@
         self.by_agent = by_agent
 
 
+def internal_error(outcome: Outcome) -> RequestRefused:
+    """Return the refusal of a request whose handling failed by a fault of this program."""
+    code = Code.INTERNAL_NOT_RUN if outcome is Outcome.NOT_RUN else Code.INTERNAL_ERROR
+    return RequestRefused("a fault of this program", code=code, outcome=outcome)
+
+
 class FileRejected(SkylarkrackError):
     """Raised when a settings file or a published list has problems; *problems* lists them all."""
 
--- a/src/skylarkrack/core/relay/_store_feed.py
+++ b/src/skylarkrack/core/relay/_store_feed.py
@@ -106,18 +106,17 @@
         for endpoint_id in step.removed:
             self._sent_by_id.pop(endpoint_id, None)
         changed = tuple(e for e in step.endpoints if self._has_changed(e))
-        registered = {endpoint.endpoint_id for endpoint in step.endpoints}
-        ended = tuple(each for each in step.removed if each not in registered)
-        self._steps.append(replace(step, endpoints=changed, removed=ended))
+        self._steps.append(replace(step, endpoints=changed))
         endpoint_by_id: dict[str, Endpoint] = {}
         removed: dict[str, None] = {}
         for earlier in self._steps:
-            for endpoint in earlier.endpoints:
-                endpoint_by_id[endpoint.endpoint_id] = endpoint
-                removed.pop(endpoint.endpoint_id, None)
+            # Removals first: a registration that ended and is in the step as well began again.
             for endpoint_id in earlier.removed:
                 endpoint_by_id.pop(endpoint_id, None)
                 removed[endpoint_id] = None
+            for endpoint in earlier.endpoints:
+                endpoint_by_id[endpoint.endpoint_id] = endpoint
+                removed.pop(endpoint.endpoint_id, None)
         return replace(
             step,
             base=self._steps[0].base,
--- a/src/skylarkrack/platform/_history.py
+++ b/src/skylarkrack/platform/_history.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from skylarkrack._errors import PlatformUnreachable
-from skylarkrack.core.relay import RegistrationHistory
+from skylarkrack.core.relay import Endpoint, RegistrationHistory
 from skylarkrack.platform._documents import DocumentRejected, decode_endpoint
 from skylarkrack.platform._store import HistoryLost, KeyValue, Store
 
@@ -81,7 +81,7 @@
             after = batch.revision
         return items
 
-    def _decode(self, key_value: KeyValue) -> object | None:
+    def _decode(self, key_value: KeyValue) -> Endpoint | None:
         """Return the endpoint in a registration; None for a removal, or if it can't be used."""
         if key_value.value is None:
             return None
--- a/src/skylarkrack/platform/_watch.py
+++ b/src/skylarkrack/platform/_watch.py
@@ -149,29 +149,27 @@
         return None if self._revision is None else (self._era, self._revision)
 
     async def _watch_forever(self) -> None:
-        revision: int | None = None
         retry_ms = MIN_RETRY_PAUSE_MS
         while True:
-            self._revision = revision
             try:
-                revision = await self._read_once(revision)
+                self._revision = await self._read_once(self._revision)
                 retry_ms = MIN_RETRY_PAUSE_MS
             except HistoryLost:
-                log(Event.HISTORY_LOST, prefix=self._prefix, revision=revision)
-                revision = None
+                log(Event.HISTORY_LOST, prefix=self._prefix, revision=self._revision)
+                self._revision = None
             except PlatformUnreachable as error:
                 self._mark_unreachable(str(error))
-                if revision is None:
+                if self._revision is None:
                     retry_ms = MIN_RETRY_PAUSE_MS
                     await asyncio.sleep(retry_ms / 1000)
                 elif self._exchange.is_reader():
                     await asyncio.sleep(retry_ms / 1000)
                     retry_ms = min(MAX_RETRY_PAUSE_MS, 2 * retry_ms)
                 else:
-                    revision = await self._follow_for(FOLLOWER_RETRY_MS, revision)
+                    self._revision = await self._follow_for(FOLLOWER_RETRY_MS, self._revision)
             except Exception as error:  # noqa: BLE001 - the reading must not end
-                self._log_failure(reprlib.repr(error), revision)
-                revision = None
+                self._log_failure(reprlib.repr(error), self._revision)
+                self._revision = None
                 await asyncio.sleep(FAILED_PAUSE_MS / 1000)
 
     async def _read_once(self, revision: int | None) -> int:
--- a/src/skylarkrack/relay/_exchange.py
+++ b/src/skylarkrack/relay/_exchange.py
@@ -4,7 +4,7 @@
 import math
 
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused
+from skylarkrack._errors import Code, LinkLost, Outcome, RequestRefused, internal_error
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import (
     Attempts,
@@ -19,7 +19,7 @@
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._event_stream import EVENT_END, EventStream
 from skylarkrack.relay._exchange_log import ExchangeLog
-from skylarkrack.relay._refusals import CrashSuspected, internal_error, write_refusal
+from skylarkrack.relay._refusals import CrashSuspected, write_refusal
 from skylarkrack.web import ClientConnection, ClientResponse, Request, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
--- a/src/skylarkrack/relay/_refusals.py
+++ b/src/skylarkrack/relay/_refusals.py
@@ -41,12 +41,6 @@
         self.segments = segments
 
 
-def internal_error(outcome: Outcome) -> RequestRefused:
-    """Return the refusal of a request whose handling failed by a fault of this program."""
-    code = Code.INTERNAL_NOT_RUN if outcome is Outcome.NOT_RUN else Code.INTERNAL_ERROR
-    return RequestRefused("a fault of this program", code=code, outcome=outcome)
-
-
 @singledispatch
 def log_fields_of(refusal: RequestRefused) -> dict[str, object]:
     """Return further log fields of a refusal, beside its code and reason."""
--- a/src/skylarkrack/relay/_request_handler.py
+++ b/src/skylarkrack/relay/_request_handler.py
@@ -4,14 +4,14 @@
 from functools import partial
 
 from skylarkrack._clock import monotonic_ms
-from skylarkrack._errors import Outcome, RequestRefused
+from skylarkrack._errors import Outcome, RequestRefused, internal_error
 from skylarkrack._events import Event, log
 from skylarkrack.core.relay import PendingRequest, QuotaGrant, RoutingTable, TableOrganisation
 from skylarkrack.relay._caller_check import check_caller, rate_exceeded
 from skylarkrack.relay._codec import IncomingRequest
 from skylarkrack.relay._context import EntryContext
 from skylarkrack.relay._exchange import Exchange, check_grace
-from skylarkrack.relay._refusals import internal_error, log_fields_of, write_refusal
+from skylarkrack.relay._refusals import log_fields_of, write_refusal
 from skylarkrack.web import Request, Responder
 
 
--- a/src/skylarkrack/web/_server.py
+++ b/src/skylarkrack/web/_server.py
@@ -7,7 +7,7 @@
 import h11
 
 from skylarkrack._addresses import split_address
-from skylarkrack._errors import Code, Outcome, RequestRefused
+from skylarkrack._errors import Code, Outcome, RequestRefused, internal_error
 from skylarkrack._events import Event, log
 from skylarkrack.web._buffer_budget import BufferBudget
 
@@ -381,6 +381,15 @@
         head_bytes = self._server._limits.head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
 
+    def _new_responder(self, *, may_keep_alive: Callable[[], bool]) -> Responder:
+        return Responder(
+            self._h11,
+            self._reader,
+            self._writer,
+            may_keep_alive=may_keep_alive,
+            on_unsent=self._unsent_held.resize,
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether no byte of a request has arrived since the last response was complete."""
@@ -430,13 +439,7 @@
             return False
         if request is None:
             return False
-        responder = Responder(
-            self._h11,
-            self._reader,
-            self._writer,
-            may_keep_alive=lambda: not self._server.is_closing,
-            on_unsent=self._unsent_held.resize,
-        )
+        responder = self._new_responder(may_keep_alive=lambda: not self._server.is_closing)
         self._responder = responder
         await self._handle(request, responder)
         self._request_held.resize(0)
@@ -471,12 +474,9 @@
 
     def _answer_failure(self, responder: Responder) -> None:
         """Answer a request whose handler failed, or cut a response that it had begun."""
-        failure = RequestRefused(
-            "a fault of this program", code=Code.INTERNAL_ERROR, outcome=Outcome.UNKNOWN
-        )
         try:
             if not responder.has_started:
-                self._server._refuse(responder, failure)
+                self._server._refuse(responder, internal_error(Outcome.UNKNOWN))
         except Exception as error:  # noqa: BLE001 - the connection still has to end
             self._log_failure(error)
         if not responder.has_ended:
@@ -610,14 +610,7 @@
         log(Event.BAD_CALLER, server=self._server._name, code=int(refusal.code))
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(
-            self._h11,
-            self._reader,
-            self._writer,
-            may_keep_alive=lambda: False,
-            on_unsent=self._unsent_held.resize,
-        )
-        self._server._refuse(responder, refusal)
+        self._server._refuse(self._new_responder(may_keep_alive=lambda: False), refusal)
 
 
 def _malformed(reason: str, *, code: Code | None = None) -> RequestRefused:
@@ -643,6 +636,5 @@
         raise _malformed("the head is too large", code=Code.HEAD_TOO_LARGE)
     if not head.target.startswith(b"/"):
         raise _malformed("the target is no path")
-    for name, value in head.headers:
-        if name == b"content-length" and int(value) > limits.body_bytes:
-            raise RequestRefused("the body is too large", code=Code.BODY_TOO_LARGE)
+    if _length_of(head) > limits.body_bytes:
+        raise RequestRefused("the body is too large", code=Code.BODY_TOO_LARGE)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1506,7 +1506,7 @@
     Guard(
         name="web-failure-answered",
         file="web/_server.py",
-        code="                self._server._refuse(responder, failure)",
+        code="                self._server._refuse(responder, internal_error(Outcome.UNKNOWN))",
         without="                pass",
         test="tests.test_relay_faults.TestFaultsOfAHandler.test_nothing_was_written",
     ),
